--- a/src/main/java/plumshore/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -1,4 +1,4 @@
-package plumshore;
+package maplerail;
 
 import java.util.List;
 
--- a/src/main/java/plumshore/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -1,4 +1,4 @@
-package plumshore.sim;
+package maplerail.sim;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -8,9 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import plumshore.Router;
-import plumshore.Router.Action;
-import plumshore.Router.Event;
+import maplerail.Router;
+import maplerail.Router.Action;
+import maplerail.Router.Event;
 
 /** Frames of the simulator's wire: batches of event records in, replies of action records out. */
 final class Codec {
--- a/src/main/java/plumshore/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -1,4 +1,4 @@
-package plumshore.sim;
+package maplerail.sim;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import plumshore.Router;
+import maplerail.Router;
 
 /** Hosts one decision module for each simulated node and passes events and actions between them and the wire. */
 final class Host {
--- a/src/main/java/plumshore/sim/Main.java
+++ b/src/main/java/maplerail/sim/Main.java
@@ -1,4 +1,4 @@
-package plumshore.sim;
+package maplerail.sim;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -9,7 +9,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import plumshore.Logic;
+import maplerail.Logic;
 
 /** The command line: {@code drill} decides on the simulator's wire. */
 public final class Main {
@@ -29,14 +29,14 @@
     /** Runs the command on the given streams: 0 at the end of input, 1 for bad input, 2 for bad usage. */
     static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) {
         if (args.length != 1 || !args[0].equals("drill")) {
-            errors.println("usage: plumshore drill");
+            errors.println("usage: maplerail drill");
             return 2;
         }
         try {
             new Host(Logic::new).serve(in, out);
             return 0;
         } catch (WireException | IOException e) {
-            errors.println("plumshore: " + e.getMessage());
+            errors.println("maplerail: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/plumshore/sim/SettingsReader.java
+++ b/src/main/java/maplerail/sim/SettingsReader.java
@@ -1,11 +1,11 @@
-package plumshore.sim;
+package maplerail.sim;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.List;
-import plumshore.Router;
+import maplerail.Router;
 
 /** Turns the text of the start-up settings into {@link Router.Settings}. */
 final class SettingsReader {
--- a/src/main/java/plumshore/sim/WireException.java
+++ b/src/main/java/maplerail/sim/WireException.java
@@ -1,4 +1,4 @@
-package plumshore.sim;
+package maplerail.sim;
 
 /** Input that cannot be read; the message says what is wrong and where. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/plumshore/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -1,4 +1,4 @@
-package plumshore;
+package maplerail;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -17,22 +17,22 @@
 
 class ArchitectureTest {
     private final JavaClasses classes = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("plumshore");
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("maplerail");
 
     private static final DescribedPredicate<JavaClass> LOGIC_ROUTER_OR_JDK = DescribedPredicate.describe(
-            "Logic, Router or java.*", c -> c.getName().startsWith("plumshore.Logic")
-                    || c.getName().startsWith("plumshore.Router") || c.getPackageName().startsWith("java.")
+            "Logic, Router or java.*", c -> c.getName().startsWith("maplerail.Logic")
+                    || c.getName().startsWith("maplerail.Router") || c.getPackageName().startsWith("java.")
                     || c.isPrimitive() || c.isArray());
 
     @Test
     void logicKnowsOnlyRouterAndTheJdk() {
-        ArchRuleDefinition.classes().that().haveNameMatching("plumshore\\.(Logic|Router).*")
+        ArchRuleDefinition.classes().that().haveNameMatching("maplerail\\.(Logic|Router).*")
                 .should().onlyDependOnClassesThat(LOGIC_ROUTER_OR_JDK).check(classes);
     }
 
     @Test
     void logicHasNoClockNoInputNoThreads() {
-        ArchRuleDefinition.noClasses().that().haveNameMatching("plumshore\\.Logic.*")
+        ArchRuleDefinition.noClasses().that().haveNameMatching("maplerail\\.Logic.*")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..",
                         "java.time..", "java.util.concurrent..")
                 .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
@@ -45,7 +45,7 @@
 
     @Test
     void logicIsShortEnoughToReadAloud() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/plumshore/Logic.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/maplerail/Logic.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
         assertEquals(List.of(), lines.stream().filter(l -> l.length() > 110).toList());
         assertTrue(lines.stream().limit(25).anyMatch(l -> l.contains("Router.java")));
--- a/src/test/java/plumshore/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -1,4 +1,4 @@
-package plumshore;
+package maplerail;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,27 +6,27 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static plumshore.Node.member;
-import static plumshore.Node.reader;
-import static plumshore.Node.writer;
+import static maplerail.Node.member;
+import static maplerail.Node.reader;
+import static maplerail.Node.writer;
 
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
-import plumshore.Router.Arrival;
-import plumshore.Router.Cancel;
-import plumshore.Router.Fail;
-import plumshore.Router.ListKind;
-import plumshore.Router.Member;
-import plumshore.Router.Outcome;
-import plumshore.Router.Refuse;
-import plumshore.Router.Release;
-import plumshore.Router.Repeat;
-import plumshore.Router.Scope;
-import plumshore.Router.Send;
-import plumshore.Router.State;
-import plumshore.Router.Subscribe;
+import maplerail.Router.Arrival;
+import maplerail.Router.Cancel;
+import maplerail.Router.Fail;
+import maplerail.Router.ListKind;
+import maplerail.Router.Member;
+import maplerail.Router.Outcome;
+import maplerail.Router.Refuse;
+import maplerail.Router.Release;
+import maplerail.Router.Repeat;
+import maplerail.Router.Scope;
+import maplerail.Router.Send;
+import maplerail.Router.State;
+import maplerail.Router.Subscribe;
 
 class LogicTest {
 
--- a/src/test/java/plumshore/Node.java
+++ b/src/test/java/maplerail/Node.java
@@ -1,26 +1,26 @@
-package plumshore;
+package maplerail;
 
 import java.util.ArrayList;
 import java.util.List;
-import plumshore.Router.Action;
-import plumshore.Router.Arrival;
-import plumshore.Router.Event;
-import plumshore.Router.Kind;
-import plumshore.Router.Limits;
-import plumshore.Router.ListKind;
-import plumshore.Router.Load;
-import plumshore.Router.Member;
-import plumshore.Router.Members;
-import plumshore.Router.Outcome;
-import plumshore.Router.Repeat;
-import plumshore.Router.RequestClass;
-import plumshore.Router.Role;
-import plumshore.Router.Rules;
-import plumshore.Router.Scope;
-import plumshore.Router.Send;
-import plumshore.Router.Settings;
-import plumshore.Router.State;
-import plumshore.Router.Tenant;
+import maplerail.Router.Action;
+import maplerail.Router.Arrival;
+import maplerail.Router.Event;
+import maplerail.Router.Kind;
+import maplerail.Router.Limits;
+import maplerail.Router.ListKind;
+import maplerail.Router.Load;
+import maplerail.Router.Member;
+import maplerail.Router.Members;
+import maplerail.Router.Outcome;
+import maplerail.Router.Repeat;
+import maplerail.Router.RequestClass;
+import maplerail.Router.Role;
+import maplerail.Router.Rules;
+import maplerail.Router.Scope;
+import maplerail.Router.Send;
+import maplerail.Router.Settings;
+import maplerail.Router.State;
+import maplerail.Router.Tenant;
 
 /** A node under test: a module, a clock that the test moves, and what the module asked for. */
 final class Node {
--- a/src/test/java/plumshore/QuickStartTest.java
+++ b/src/test/java/maplerail/QuickStartTest.java
@@ -1,24 +1,24 @@
-package plumshore;
+package maplerail;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import plumshore.Router.Action;
-import plumshore.Router.Arrival;
-import plumshore.Router.Kind;
-import plumshore.Router.Limits;
-import plumshore.Router.ListKind;
-import plumshore.Router.Member;
-import plumshore.Router.Members;
-import plumshore.Router.Repeat;
-import plumshore.Router.RequestClass;
-import plumshore.Router.Role;
-import plumshore.Router.Rules;
-import plumshore.Router.Scope;
-import plumshore.Router.Send;
-import plumshore.Router.Settings;
-import plumshore.Router.State;
+import maplerail.Router.Action;
+import maplerail.Router.Arrival;
+import maplerail.Router.Kind;
+import maplerail.Router.Limits;
+import maplerail.Router.ListKind;
+import maplerail.Router.Member;
+import maplerail.Router.Members;
+import maplerail.Router.Repeat;
+import maplerail.Router.RequestClass;
+import maplerail.Router.Role;
+import maplerail.Router.Rules;
+import maplerail.Router.Scope;
+import maplerail.Router.Send;
+import maplerail.Router.Settings;
+import maplerail.Router.State;
 
 /** The README's example. */
 class QuickStartTest {
--- a/src/test/java/plumshore/sim/CodecTest.java
+++ b/src/test/java/maplerail/sim/CodecTest.java
@@ -1,4 +1,4 @@
-package plumshore.sim;
+package maplerail.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -17,7 +17,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import plumshore.Router;
+import maplerail.Router;
 
 class CodecTest {
     private static final String SETTINGS = """
