--- /dev/null
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -0,0 +1,130 @@
+package maplerail.cli;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import maplerail.Logic;
+import maplerail.Router;
+import maplerail.config.EngineList;
+import maplerail.config.NodeConfig;
+import maplerail.core.Broker;
+import maplerail.core.Budgets;
+import maplerail.core.Lifecycle;
+import maplerail.core.Lifecycle.Phase;
+import maplerail.discovery.PlatformWatch;
+import maplerail.front.platform.PlatformFront;
+import maplerail.net.EngineClient;
+import maplerail.net.Pool;
+import maplerail.net.XnioLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** One real gateway: puts the parts together and takes them from start to exit. */
+public final class Gateway {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
+    private static final double LOOK_MS = 20;
+    private static final int BUFFER = 8 * 1024;
+
+    private final NodeConfig config;
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final XnioWorker worker;
+    private final XnioLoop loop;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 512, 0);
+    private final Broker broker;
+    private final EngineClient engines;
+    private final PlatformFront front;
+    private final PlatformWatch watch;
+    private Undertow server;
+
+    /** Makes a gateway that does not listen yet. */
+    public Gateway(NodeConfig config) throws IOException {
+        this.config = config;
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.TCP_NODELAY, true)
+                .set(Options.THREAD_DAEMON, false).getMap());
+        loop = new XnioLoop(worker.getIoThread());
+        Pool pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs());
+        engines = new EngineClient(pool);
+        Router.Settings settings = config.settings();
+        broker = new Broker(new Logic(settings), settings, Budgets.open(config.wire().maxOpen()), loop, engines,
+                line -> LOG.info("{}", line));
+        front = new PlatformFront(broker, config.names(), lifecycle);
+        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), this::hear);
+    }
+
+    /** Where it listens, once it does. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    }
+
+    /** Listens and serves; ready as soon as any list of engines is known. */
+    public void start() {
+        loop.execute(() -> {
+            EngineList known = config.known();
+            if (known != null) {
+                engines.addresses(known.addresses());
+                broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
+            }
+            watch.ask();
+            if (known != null && !known.members().isEmpty()) ready();
+        });
+        server = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
+                .addHttpListener(config.listen().getPort(), config.listen().getAddress().getHostAddress(), front)
+                .setSocketOption(Options.BACKLOG, 1_024).setSocketOption(Options.TCP_NODELAY, true)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) PlatformFront.MOST_BYTES)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
+                .build();
+        server.start();
+        LOG.info("{} listens on {}", config.name(), address());
+    }
+
+    private void hear(EngineList list) {
+        engines.addresses(list.addresses());
+        broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
+                list.version(), list.members()));
+        ready();
+    }
+
+    private void ready() {
+        if (lifecycle.phase() == Phase.STARTING) lifecycle.move(Phase.READY);
+    }
+
+    /** The signal to stop: serves what still arrives for a while, finishes what it has taken, then stops. */
+    public void drain() {
+        loop.execute(() -> {
+            Phase phase = lifecycle.phase();
+            if (phase != Phase.STARTING && phase != Phase.READY) return;
+            lifecycle.move(Phase.DRAINING);
+            loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
+        });
+    }
+
+    private void finish() {
+        front.closeIdle();
+        if (front.open() > 0 || broker.remembered() > 0) {
+            loop.at(loop.nowMs() + LOOK_MS, this::finish);
+            return;
+        }
+        lifecycle.move(Phase.STOPPED);
+        stopped.countDown();
+    }
+
+    /** Waits until it has stopped, then lets go of its threads and sockets. */
+    public void join() throws InterruptedException {
+        stopped.await();
+        server.stop();
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/cli/Main.java
@@ -0,0 +1,115 @@
+package maplerail.cli;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Map;
+import maplerail.config.ConfigException;
+import maplerail.config.NodeConfig;
+import maplerail.sim.Adapter;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** The command line. */
+public final class Main {
+    private static final int BUFFER = 1 << 16;
+    private static final String USAGE = """
+            usage: maplerail COMMAND [--config FILE]
+              serve          run a gateway; its configuration is FILE, else $RELAY_CONFIG
+              check-config   read a configuration and say what is wrong with it
+              adapter        decide on the simulator's wire, on standard input and output
+              version        print the version
+              help           print this
+            """;
+
+    private Main() { }
+
+    /** Runs a command and exits with its status: 0 done, 1 failed, 2 bad usage or configuration. */
+    public static void main(String[] args) throws Exception {
+        int status = run(args, System.getenv(), System.out, System.err);
+        System.out.flush();
+        System.err.flush();
+        if (status >= 0) System.exit(status);
+    }
+
+    /** Runs a command; -1 for a program that goes on and ends by itself. */
+    static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream errors)
+            throws Exception {
+        String command = args.length == 0 ? "" : args[0];
+        Options options = new Options();
+        if (command.equals("serve") || command.equals("check-config")) {
+            options.addOption("c", "config", true, "the configuration file");
+        }
+        CommandLine line;
+        try {
+            String[] rest = args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length);
+            line = new DefaultParser().parse(options, rest);
+            if (!line.getArgList().isEmpty()) throw new ParseException("what is '" + line.getArgList().get(0) + "'?");
+        } catch (ParseException e) {
+            errors.print("maplerail: " + e.getMessage() + "\n" + USAGE);
+            return 2;
+        }
+        switch (command) {
+            case "serve", "check-config" -> {
+                return configured(command, line.getOptionValue("config", environment.get("RELAY_CONFIG")),
+                        environment, out, errors);
+            }
+            case "adapter" -> {
+                return Adapter.run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), BUFFER),
+                        new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), BUFFER), errors);
+            }
+            case "version" -> {
+                String version = Main.class.getPackage().getImplementationVersion();
+                out.println("maplerail " + (version == null ? "unpackaged" : version));
+                return 0;
+            }
+            case "help", "--help", "-h" -> {
+                out.print(USAGE);
+                return 0;
+            }
+            default -> {
+                errors.print(USAGE);
+                return 2;
+            }
+        }
+    }
+
+    private static int configured(String command, String file, Map<String, String> environment, PrintStream out,
+            PrintStream errors) throws Exception {
+        NodeConfig config;
+        try {
+            if (file == null) throw new ConfigException("RELAY_CONFIG: missing, and no --config");
+            config = NodeConfig.read(Files.readString(Path.of(file)), environment);
+        } catch (ConfigException e) {
+            errors.println("maplerail: " + e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            errors.println("maplerail: RELAY_CONFIG: cannot be read: " + file);
+            return 2;
+        }
+        if (command.equals("check-config")) {
+            out.println("maplerail: the configuration of " + config.name() + " can be used");
+            return 0;
+        }
+        Gateway gateway = new Gateway(config);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            gateway.drain();
+            try {
+                gateway.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "drain"));
+        gateway.start();
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -0,0 +1,36 @@
+package maplerail.config;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import maplerail.Router;
+
+/** What one gateway is told at its start. */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, Names names,
+        Router.Settings settings, EngineList known, Wire wire) {
+
+    /** Figures for the connections. */
+    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter) { }
+
+    /** Reads the configuration's text; the environment's addresses come first where it has them. */
+    public static NodeConfig read(String text, Map<String, String> environment) {
+        Tree root = Tree.object("config", text);
+        Tree settings = root.need("settings");
+        if (!settings.isObject()) throw new ConfigException("config.settings: not an object");
+        Names names = Names.read(settings);
+        Tree limits = settings.need("limits");
+        EngineList known = root.at("known").isObject() ? EngineList.read(root.at("known"), names) : null;
+        return new NodeConfig(root.at("name").text(environment.getOrDefault("RELAY_NAME", "gateway")),
+                address(environment.get("RELAY_LISTEN"), "RELAY_LISTEN", root, "listen"),
+                address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"), names,
+                SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
+                new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
+                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag()));
+    }
+
+    private static InetSocketAddress address(String told, String variable, Tree root, String key) {
+        if (told == null || told.isEmpty()) return Address.need(root.need(key));
+        InetSocketAddress address = Address.parse(told);
+        if (address == null) throw new ConfigException(variable + ": not an address: '" + told + "'");
+        return address;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -0,0 +1,107 @@
+package maplerail.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import maplerail.Router;
+
+/** Turns the start-up settings into {@link Router.Settings}. */
+public final class SettingsReader {
+    private SettingsReader() { }
+
+    /** The settings, and the place of the memory share in a load report (-1: not reported). */
+    public record Parsed(Router.Settings settings, int memoryColumn) { }
+
+    /** Reads the text of the settings. */
+    public static Parsed read(long seed, String text) {
+        return read(seed, Tree.object("settings", text));
+    }
+
+    /** Reads the settings from a larger text that holds them. */
+    public static Parsed read(long seed, Tree root) {
+        Tree family = root.need("familyInfo");
+        return new Parsed(new Router.Settings(seed, (int) root.need("balancers").number(),
+                (int) root.need("zone").number(), root.need("tickMs").number(),
+                "ask".equals(root.at("discovery").text("")), root.at("overShareWorth").number(1),
+                classes(root, family), tenants(root), kinds(family), limits(root, family), rules(root, family)),
+                memoryColumn(root));
+    }
+
+    private static List<Router.RequestClass> classes(Tree root, Tree family) {
+        List<Router.RequestClass> out = new ArrayList<>();
+        for (Tree lane : root.need("lanes").list()) {
+            int i = out.size();
+            double aimUsPerK = family.at("aimUsPer1000PromptTokens").at(i).number(0);
+            out.add(new Router.RequestClass(lane.need("goalTimeMs").number(), aimUsPerK / 1e6,
+                    lane.need("deadlineMs").number(), family.at("tokenAimMs").at(i).number(0),
+                    lane.at("worth").number(1), lane.at("lateShare").number(0), repeat(lane.need("repeat")),
+                    lane.at("keyScope").present() ? scope(lane.at("keyScope")) : Router.Scope.ALL,
+                    lane.at("keyTtlMs").number(0)));
+        }
+        return List.copyOf(out);
+    }
+
+    /** The repeat rule that a word stands for. */
+    public static Router.Repeat repeat(Tree word) {
+        return switch (word.text()) {
+            case "pure" -> Router.Repeat.PURE;
+            case "token" -> Router.Repeat.KEYED;
+            case "side_effect" -> Router.Repeat.UNSAFE;
+            default -> throw unknown(word);
+        };
+    }
+
+    private static Router.Scope scope(Tree word) {
+        return switch (word.text()) {
+            case "all" -> Router.Scope.ALL;
+            case "zone" -> Router.Scope.ZONE;
+            case "cell" -> Router.Scope.CELL;
+            default -> throw unknown(word);
+        };
+    }
+
+    private static ConfigException unknown(Tree word) {
+        return new ConfigException(word.path() + ": unknown value '" + word.text() + "'");
+    }
+
+    private static List<Router.Tenant> tenants(Tree root) {
+        return root.at("parties").list().stream()
+                .map(party -> new Router.Tenant(party.at("quotaRps").number(0))).toList();
+    }
+
+    private static List<Router.Kind> kinds(Tree family) {
+        List<Router.Kind> out = new ArrayList<>();
+        for (Tree role : family.need("kindRole").list()) {
+            Router.Role known = switch (role.text()) {
+                case "read" -> Router.Role.READ;
+                case "write" -> Router.Role.WRITE;
+                case "both" -> Router.Role.BOTH;
+                default -> throw new ConfigException("settings: kindRole: unknown role '" + role.text() + "'");
+            };
+            out.add(new Router.Kind(known, family.at("kindMemoryTokens").at(out.size()).number(0)));
+        }
+        return List.copyOf(out);
+    }
+
+    private static Router.Limits limits(Tree root, Tree family) {
+        Tree limits = root.need("limits");
+        return new Router.Limits((int) limits.need("sendCap").number(), limits.at("cancel").flag(),
+                limits.at("secondCopies").flag(), limits.at("retryAfter").flag(),
+                limits.at("maxRetryAfterMs").number(0), family.at("readInPlace").flag());
+    }
+
+    private static Router.Rules rules(Tree root, Tree family) {
+        Tree rules = root.need("rules");
+        return new Router.Rules(rules.at("answerSlackMs").number(0), family.need("pinLimitMs").number(),
+                rules.need("startCapacity").number(), rules.need("tipMultiple").number(),
+                rules.need("overloadForMs").number(), rules.need("warmAfterMs").number(),
+                rules.at("mustAskInMs").number(0));
+    }
+
+    private static int memoryColumn(Tree root) {
+        List<Tree> columns = root.at("stats").at("columns").list();
+        for (int i = 0; i < columns.size(); i++) {
+            if ("x0".equals(columns.get(i).text(""))) return i;
+        }
+        return -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Broker.java
@@ -0,0 +1,149 @@
+package maplerail.core;
+
+import java.util.function.Consumer;
+import maplerail.Router;
+import maplerail.core.Caller.Why;
+
+/**
+ * Drives one decision module on one event loop. A request passes the stages take in, admit, route, send,
+ * relay and book; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
+ */
+public final class Broker {
+    private static final double GUARD_MS = 4; // past a deadline; the module answers before it
+
+    private final Loop loop;
+    private final Fleet fleet;
+    private final Book book;
+    private final TakeIn takeIn;
+    private final Admit admit;
+    private final Route route;
+    private final Send send;
+    private final Relay relay;
+    private final Consumer<String> log;
+
+    /** Makes a broker round a module that has just come up with these settings. */
+    public Broker(Router router, Router.Settings settings, Budgets budgets, Loop loop, Engines engines,
+            Consumer<String> log) {
+        this.loop = loop;
+        this.log = log;
+        fleet = new Fleet(settings.kinds());
+        admit = new Admit(budgets, loop);
+        book = new Book(engines, loop, admit, settings.rules().pinLimitMs());
+        takeIn = new TakeIn(loop, book);
+        relay = new Relay(book);
+        send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
+        route = new Route(router, loop, this::perform);
+        send.use(route);
+    }
+
+    /** Takes a request; its caller gets its one final answer in any case. */
+    public Ticket take(Ask ask, Caller caller) {
+        Entry entry = takeIn.take(ask, caller);
+        if (entry == null) {
+            caller.fail(Why.DUPLICATE);
+            return new Closed();
+        }
+        Admit.Denied denied = admit.check(ask);
+        if (denied != null) {
+            book.answer(entry);
+            book.settle(entry);
+            caller.refuse(denied.why(), denied.retryAfterMs());
+            return new Closed();
+        }
+        entry.admitted = true;
+        entry.guard = loop.at(entry.deadlineMs + GUARD_MS, () -> overdue(entry));
+        route.tell(new Router.Arrival(entry.number, ask.kind(), ask.tenant(), ask.session(), ask.promptTokens(),
+                ask.prefix(), ask.prefixTokens(), ask.budgetMs(), ask.maxOutput(), ask.hintMs(), ask.resumed()));
+        return new Open(entry);
+    }
+
+    /** News of the engines; what has not gone out yet obeys it too. */
+    public void members(Router.Members news) {
+        fleet.hear(news);
+        route.tell(news);
+        send.withdrawUnsent();
+    }
+
+    /** Requests that still wait for their final answer. */
+    public int unanswered() {
+        return book.unanswered();
+    }
+
+    /** Requests of which anything is still remembered. */
+    public int remembered() {
+        return book.size();
+    }
+
+    private void perform(Router.Action action) {
+        if (action instanceof Router.Send order) send.attempt(order);
+        else if (action instanceof Router.Cancel order) send.cancel(order);
+        else if (action instanceof Router.Release order) release(order.id());
+        else if (action instanceof Router.Refuse refuse) refuse(refuse);
+        else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE);
+        else if (action instanceof Router.SetTimer timer) {
+            loop.at(timer.atMs(), () -> route.tell(new Router.Timer(timer.token())));
+        } else if (action instanceof Router.Log line) log.accept(line.text());
+        // Subscribe and FetchList need nothing: the list is always watched.
+    }
+
+    private void release(long number) {
+        Entry entry = book.find(number);
+        if (entry != null) book.release(entry);
+    }
+
+    private void refuse(Router.Refuse order) {
+        Entry entry = book.find(order.id());
+        if (entry == null || !book.answer(entry)) return;
+        book.settle(entry);
+        entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
+    }
+
+    private void fail(long number, Why why) {
+        Entry entry = book.find(number);
+        if (entry == null || !book.answer(entry)) return;
+        book.settle(entry);
+        entry.caller.fail(why);
+    }
+
+    /** The module gave no answer in time: nothing may be late for want of one. */
+    private void overdue(Entry entry) {
+        if (entry.answered || entry.winner != null) return;
+        log.accept("request " + entry.number + " was not answered by its deadline");
+        fail(entry.number, Why.DEADLINE);
+        leave(entry);
+    }
+
+    private void leave(Entry entry) {
+        route.tell(new Router.Abandoned(entry.number));
+        send.cutAll(entry);
+        book.settle(entry);
+    }
+
+    /** A request that was never open, or no longer is. */
+    private static final class Closed implements Ticket {
+        @Override
+        public void gone() { }
+
+        @Override
+        public void writable() { }
+    }
+
+    private final class Open implements Ticket {
+        private final Entry entry;
+
+        Open(Entry entry) {
+            this.entry = entry;
+        }
+
+        @Override
+        public void gone() {
+            if (!book.answer(entry)) return;
+            leave(entry);
+        }
+
+        @Override
+        public void writable() {
+            relay.writable(entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Caller.java
@@ -0,0 +1,22 @@
+package maplerail.core;
+
+/** Who asked. Gets exactly one of end, broken, refuse and fail; events come before end or broken only. */
+public interface Caller {
+    /** Why a request was not served. */
+    enum Why { INVALID, DUPLICATE, BUDGET, OVERLOAD, ENGINE, DEADLINE }
+
+    /** A piece of the answer, unchanged; false asks for a pause until {@link Ticket#writable()}. */
+    boolean event(byte[] event);
+
+    /** The answer is whole. */
+    void end();
+
+    /** The answer broke off after its first event. */
+    void broken();
+
+    /** Not served, and a repeat does no harm; {@code retryAfterMs} is 0 for no advice. */
+    void refuse(Why why, double retryAfterMs);
+
+    /** Not served, and it may have run. */
+    void fail(Why why);
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Engines.java
@@ -0,0 +1,36 @@
+package maplerail.core;
+
+import maplerail.Router;
+
+/** The port through which attempts go out. It must never make an attempt twice on its own. */
+public interface Engines {
+    /** Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. */
+    Sending send(long engine, Ask ask, double untilMs, Answer answer);
+
+    /** Lets go of what an engine holds for a request, trying again up to a time. */
+    void release(long engine, String id, double untilMs);
+
+    /** An attempt on its way. */
+    interface Sending {
+        /** True while not a byte of it has gone out. */
+        boolean unsent();
+
+        /** Gives it up: nothing is heard of it any more. */
+        void abort();
+
+        /** Stops taking the answer's events. */
+        void pause();
+
+        /** Takes them again. */
+        void resume();
+    }
+
+    /** What comes back. */
+    interface Answer {
+        /** A piece of a streaming answer. */
+        void event(byte[] event);
+
+        /** The end; {@code kept} is the part of the prompt that needed no reading. */
+        void ended(Router.Outcome outcome, double kept);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Entry.java
@@ -0,0 +1,59 @@
+package maplerail.core;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The book's page on one request: its attempts, its answer and what engines may hold for it. */
+final class Entry {
+    final long number;
+    final Ask ask;
+    final Caller caller;
+    final double deadlineMs;
+    final List<Try> tries = new ArrayList<>();
+    /** Engines at which a state may wait, and those of them that said so. */
+    final Set<Long> mayHold = new LinkedHashSet<>();
+    final Set<Long> holds = new LinkedHashSet<>();
+    boolean admitted;
+    boolean answered;
+    double lastCutMs = Double.NEGATIVE_INFINITY;
+    /** The attempt whose events the caller gets. */
+    Try winner;
+    Loop.Alarm guard;
+
+    Entry(long number, Ask ask, Caller caller, double deadlineMs) {
+        this.number = number;
+        this.ask = ask;
+        this.caller = caller;
+        this.deadlineMs = deadlineMs;
+    }
+
+    boolean anyOut() {
+        return tries.stream().anyMatch(t -> !t.ended);
+    }
+
+    boolean outAt(long engine) {
+        return tries.stream().anyMatch(t -> !t.ended && t.engine == engine);
+    }
+
+    /** One attempt. */
+    static final class Try {
+        final Entry entry;
+        final int number;
+        final long engine;
+        final boolean reader;
+        final double sentMs;
+        Engines.Sending sending;
+        Loop.Alarm timeout;
+        boolean ended;
+
+        Try(Entry entry, long engine, boolean reader, double sentMs) {
+            this.entry = entry;
+            this.number = entry.tries.size();
+            this.engine = engine;
+            this.reader = reader;
+            this.sentMs = sentMs;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -0,0 +1,41 @@
+package maplerail.core;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import maplerail.Router;
+
+/** Which engines the list has named, what they do, and which of them want new work. */
+final class Fleet {
+    private final List<Router.Kind> kinds;
+    private final Map<Long, Router.Role> roles = new HashMap<>();
+    private final Set<Long> ready = new HashSet<>();
+
+    Fleet(List<Router.Kind> kinds) {
+        this.kinds = kinds;
+    }
+
+    void hear(Router.Members news) {
+        if (news.kind() == Router.ListKind.FAILED) return;
+        if (news.kind() != Router.ListKind.CHANGES) ready.clear();
+        for (Router.Member member : news.members()) {
+            if (member.kind() < kinds.size()) roles.put(member.engine(), kinds.get(member.kind()).role());
+            if (member.state() == Router.State.READY) ready.add(member.engine());
+            else ready.remove(member.engine());
+        }
+    }
+
+    boolean ready(long engine) {
+        return ready.contains(engine);
+    }
+
+    boolean known(long engine) {
+        return roles.containsKey(engine);
+    }
+
+    boolean reader(long engine) {
+        return roles.get(engine) == Router.Role.READ;
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Lifecycle.java
@@ -0,0 +1,43 @@
+package maplerail.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The program's phases, from start to exit. Only legal moves are made; listeners hear each one. */
+public final class Lifecycle {
+    /** Where the program is. */
+    public enum Phase { STARTING, READY, DRAINING, STOPPED }
+
+    private static final Map<Phase, Set<Phase>> LEGAL = Map.of(
+            Phase.STARTING, Set.of(Phase.READY, Phase.DRAINING, Phase.STOPPED),
+            Phase.READY, Set.of(Phase.DRAINING),
+            Phase.DRAINING, Set.of(Phase.STOPPED),
+            Phase.STOPPED, Set.of());
+
+    private final List<Consumer<Phase>> listeners = new ArrayList<>();
+    private Phase phase = Phase.STARTING;
+
+    /** The phase now. */
+    public synchronized Phase phase() {
+        return phase;
+    }
+
+    /** Tells each later move. */
+    public synchronized void listen(Consumer<Phase> listener) {
+        listeners.add(listener);
+    }
+
+    /** Moves on; an illegal move is a fault of the program. */
+    public void move(Phase to) {
+        List<Consumer<Phase>> heard;
+        synchronized (this) {
+            if (!LEGAL.get(phase).contains(to)) throw new IllegalStateException("no way from " + phase + " to " + to);
+            phase = to;
+            heard = List.copyOf(listeners);
+        }
+        heard.forEach(l -> l.accept(to));
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Relay.java
@@ -0,0 +1,29 @@
+package maplerail.core;
+
+import maplerail.Router.Outcome;
+
+/** Fifth stage: passes the events of the one attempt that became the caller's, as they come. */
+final class Relay {
+    private final Book book;
+
+    Relay(Book book) {
+        this.book = book;
+    }
+
+    void event(Entry.Try attempt, byte[] event) {
+        if (attempt.entry.answered) return;
+        if (!attempt.entry.caller.event(event)) attempt.sending.pause();
+    }
+
+    void writable(Entry entry) {
+        if (entry.winner != null && !entry.winner.ended) entry.winner.sending.resume();
+    }
+
+    /** Only a stream that came to its end is whole; any other must not look so. */
+    void ended(Entry.Try attempt, Outcome outcome) {
+        Entry entry = attempt.entry;
+        if (!book.answer(entry)) return;
+        if (outcome == Outcome.SERVED) entry.caller.end();
+        else entry.caller.broken();
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Route.java
@@ -0,0 +1,36 @@
+package maplerail.core;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.Consumer;
+import maplerail.Router;
+
+/** Third stage: tells the module each event in order and hands on each action, one after the other. */
+final class Route {
+    private final Router router;
+    private final Loop loop;
+    private final Consumer<Router.Action> perform;
+    private final ArrayDeque<Router.Event> waiting = new ArrayDeque<>();
+    private boolean stepping;
+
+    Route(Router router, Loop loop, Consumer<Router.Action> perform) {
+        this.router = router;
+        this.loop = loop;
+        this.perform = perform;
+    }
+
+    /** An event that an action brings about waits until the actions before it are done. */
+    void tell(Router.Event event) {
+        waiting.add(event);
+        if (stepping) return;
+        stepping = true;
+        try {
+            for (Router.Event next = waiting.poll(); next != null; next = waiting.poll()) {
+                List<Router.Action> actions = router.step(loop.nowMs(), List.of(next));
+                actions.forEach(perform);
+            }
+        } finally {
+            stepping = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/Send.java
@@ -0,0 +1,116 @@
+package maplerail.core;
+
+import maplerail.Router;
+import maplerail.Router.Outcome;
+
+/** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
+final class Send {
+    private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
+
+    private final Engines engines;
+    private final Loop loop;
+    private final Fleet fleet;
+    private final Book book;
+    private final Relay relay;
+    private final int maxAttempts;
+    private Route route;
+
+    Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, int maxAttempts) {
+        this.engines = engines;
+        this.loop = loop;
+        this.fleet = fleet;
+        this.book = book;
+        this.relay = relay;
+        this.maxAttempts = maxAttempts;
+    }
+
+    void use(Route to) {
+        route = to;
+    }
+
+    void attempt(Router.Send order) {
+        Entry entry = book.find(order.id());
+        if (entry == null) return;
+        Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
+        entry.tries.add(attempt);
+        double until = order.untilMs() > 0 ? Math.min(order.untilMs(), entry.deadlineMs) : entry.deadlineMs;
+        // Guards against a send for what is over, or to an engine that the list has told to leave alone.
+        if (entry.answered || until <= loop.nowMs() || attempt.number >= maxAttempts || !fleet.ready(order.engine())) {
+            ended(attempt, Outcome.NOT_SENT, 0);
+            return;
+        }
+        attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
+        attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
+            @Override
+            public void event(byte[] event) {
+                if (!attempt.ended) heard(attempt, event);
+            }
+
+            @Override
+            public void ended(Outcome outcome, double kept) {
+                Send.this.ended(attempt, outcome, kept);
+            }
+        });
+    }
+
+    private void heard(Entry.Try attempt, byte[] event) {
+        Entry entry = attempt.entry;
+        if (entry.winner == null && !entry.answered) {
+            entry.winner = attempt;
+            attempt.timeout.cancel();
+            entry.guard.cancel();
+            entry.mayHold.clear();
+            entry.holds.clear();
+            route.tell(new Router.FirstToken(entry.number, attempt.number, attempt.engine,
+                    loop.nowMs() - attempt.sentMs));
+        }
+        if (entry.winner == attempt) relay.event(attempt, event);
+        else cut(attempt, Outcome.CANCELLED);
+    }
+
+    /** Calls an attempt off, unless its stream is the caller's already. */
+    void cancel(Router.Cancel order) {
+        Entry entry = book.find(order.id());
+        if (entry == null || order.attempt() >= entry.tries.size()) return;
+        Entry.Try attempt = entry.tries.get(order.attempt());
+        if (entry.winner != attempt) cut(attempt, Outcome.CANCELLED);
+    }
+
+    /** The caller has left: nobody reads a stream either. */
+    void cutAll(Entry entry) {
+        for (Entry.Try attempt : entry.tries) cut(attempt, Outcome.CANCELLED);
+    }
+
+    /** What has not left this machine must not follow the news that its engine wants nothing more. */
+    void withdrawUnsent() {
+        for (Entry entry : book.all()) {
+            for (Entry.Try attempt : entry.tries) {
+                boolean unsent = !attempt.ended && attempt.sending != null && attempt.sending.unsent();
+                if (unsent && !fleet.ready(attempt.engine)) cut(attempt, Outcome.UNREACHABLE);
+            }
+        }
+    }
+
+    private void cut(Entry.Try attempt, Outcome outcome) {
+        if (attempt.ended) return;
+        Outcome proven = attempt.sending.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
+        attempt.sending.abort();
+        attempt.entry.lastCutMs = loop.nowMs();
+        ended(attempt, proven, 0);
+    }
+
+    private void ended(Entry.Try attempt, Outcome outcome, double kept) {
+        if (attempt.ended) return;
+        attempt.ended = true;
+        if (attempt.timeout != null) attempt.timeout.cancel();
+        Entry entry = attempt.entry;
+        boolean read = outcome == Outcome.READ;
+        if (read) entry.holds.add(attempt.engine);
+        // A read that was cut off may have ended well just then.
+        if (read || attempt.reader && !outcome.neverRan) entry.mayHold.add(attempt.engine);
+        if (entry.winner == attempt) relay.ended(attempt, outcome);
+        route.tell(new Router.Ended(entry.number, attempt.number, attempt.engine, outcome,
+                loop.nowMs() - attempt.sentMs, kept, entry.answered, UNTOLD));
+        book.settle(entry);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -0,0 +1,104 @@
+package maplerail.discovery;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import maplerail.config.ConfigException;
+import maplerail.config.EngineList;
+import maplerail.config.Names;
+import maplerail.config.Tree;
+import maplerail.net.Call;
+import maplerail.net.Pool;
+import maplerail.net.Reply;
+import maplerail.net.XnioLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Watches the platform's list: each next call follows the last answer at once, well within 200 ms. */
+public final class PlatformWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
+    private static final long WAIT_MS = 20_000;
+    private static final double GRACE_MS = 2_000; // past its wait, after which a call is held to be lost
+    private static final double AGAIN_MS = 50;
+    private static final int MOST = 4 << 20;
+
+    private final Pool pool;
+    private final XnioLoop loop;
+    private final InetSocketAddress at;
+    private final Names names;
+    private final Consumer<EngineList> news;
+    private long version = -1;
+
+    /** Makes a watch that tells each piece of news. */
+    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, Consumer<EngineList> news) {
+        this.pool = pool;
+        this.loop = loop;
+        this.at = at;
+        this.names = names;
+        this.news = news;
+    }
+
+    /** Asks for the whole list, then for changes, for good. */
+    public void ask() {
+        String target = "/api/targets" + (version < 0 ? "" : "?index=" + version + "&wait=" + WAIT_MS);
+        ClientRequest request = new ClientRequest().setMethod(Methods.GET).setPath(target);
+        request.getRequestHeaders().put(Headers.HOST, at.getAddress().getHostAddress() + ":" + at.getPort());
+        new Asked().start(request);
+    }
+
+    private final class Asked implements Reply {
+        private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+        private int status;
+        private boolean over;
+
+        void start(ClientRequest request) {
+            Call call = pool.start(at, request, new byte[0], this);
+            // Guards against an agent that was cut off: its connection would stay open and silent.
+            loop.at(loop.nowMs() + (version < 0 ? GRACE_MS : WAIT_MS + GRACE_MS), () -> {
+                if (over) return;
+                call.abort();
+                failed(false);
+            });
+        }
+
+        @Override
+        public void head(int code, HeaderMap headers) {
+            status = code;
+        }
+
+        @Override
+        public void body(ByteBuffer piece) {
+            while (piece.hasRemaining() && text.size() < MOST) text.write(piece.get());
+        }
+
+        @Override
+        public void end() {
+            if (over) return;
+            try {
+                if (status != 200) throw new ConfigException("status " + status);
+                EngineList list = EngineList.read(Tree.object("list", text.toString(StandardCharsets.UTF_8)), names);
+                over = true;
+                version = list.version();
+                ask();
+                news.accept(list);
+            } catch (ConfigException e) {
+                LOG.warn("discovery: {}", e.getMessage());
+                version = -1;
+                failed(false);
+            }
+        }
+
+        @Override
+        public void failed(boolean neverSent) {
+            if (over) return;
+            over = true;
+            loop.at(loop.nowMs() + AGAIN_MS, PlatformWatch.this::ask);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -0,0 +1,181 @@
+package maplerail.front.platform;
+
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import maplerail.core.Caller;
+import maplerail.core.Ticket;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** A client's open request: relays a stream to it as it comes, or words the one final answer. */
+final class Answer implements Caller {
+    private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
+
+    private final HttpServerExchange exchange;
+    private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
+    private int waitingBytes;
+    private Ticket ticket;
+    private StreamSinkChannel sink;
+    private boolean paused;
+    private boolean ending;
+    private boolean over;
+
+    Answer(HttpServerExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    void hold(Ticket held) {
+        ticket = held;
+        if (!over) watch();
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /**
+     * Between a request and its answer nothing is read from a client, so nobody would see it leave: look for
+     * the end of its side here. The framing's own channel says that too, at the end of the body.
+     */
+    private void watch() {
+        if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) return;
+        StreamSourceConduit raw = connection.getOriginalSourceConduit();
+        ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+        source.setReadListener(c -> {
+            if (over) return;
+            ByteBuffer one = ByteBuffer.allocate(1);
+            try {
+                int count = raw.read(one);
+                if (count < 0) left();
+                // A client sends one request at a time: what it sends early can't be put back in its place.
+                if (count > 0) left();
+            } catch (IOException e) {
+                left();
+            }
+        });
+        raw.resumeReads();
+    }
+
+    private void left() {
+        if (over) return;
+        over = true;
+        IoUtils.safeClose(exchange.getConnection());
+        if (ticket != null) ticket.gone();
+    }
+
+    @Override
+    public boolean event(byte[] event) {
+        if (over) return true;
+        if (sink == null) {
+            exchange.setStatusCode(200);
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+            exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
+            sink = exchange.getResponseChannel();
+            sink.getWriteSetter().set(c -> write());
+        }
+        waiting.add(ByteBuffer.wrap(event));
+        waitingBytes += event.length;
+        if (waiting.size() == 1) write();
+        paused = waitingBytes > MOST_WAITING;
+        return !paused;
+    }
+
+    private void write() {
+        if (over) return;
+        try {
+            while (!waiting.isEmpty()) {
+                ByteBuffer first = waiting.peek();
+                int count = sink.write(first);
+                waitingBytes -= count;
+                if (!first.hasRemaining()) waiting.poll();
+                else if (count == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            if (ending) {
+                sink.shutdownWrites();
+                over = true;
+            }
+            if (!sink.flush()) {
+                sink.resumeWrites();
+                if (over) sink.getWriteSetter().set(c -> flush());
+                return;
+            }
+            sink.suspendWrites();
+        } catch (IOException e) {
+            left();
+            return;
+        }
+        if (paused && !over && waitingBytes <= MOST_WAITING / 2) {
+            paused = false;
+            ticket.writable();
+        }
+    }
+
+    private void flush() {
+        try {
+            if (sink.flush()) sink.suspendWrites();
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    @Override
+    public void end() {
+        if (over) return;
+        if (sink == null) event(new byte[0]);
+        ending = true;
+        write();
+    }
+
+    @Override
+    public void broken() {
+        if (over) return;
+        over = true;
+        // What is still waiting goes out if it can at once; then the connection ends with no last chunk.
+        try {
+            while (!waiting.isEmpty() && sink.write(waiting.peek()) > 0) {
+                if (!waiting.peek().hasRemaining()) waiting.poll();
+            }
+            sink.flush();
+        } catch (IOException e) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    @Override
+    public void refuse(Why why, double retryAfterMs) {
+        if (retryAfterMs > 0) {
+            String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / 1_000);
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+        }
+        say(why == Why.INVALID ? 413 : 503, "refused, a repeat does no harm");
+    }
+
+    @Override
+    public void fail(Why why) {
+        switch (why) {
+            case INVALID -> say(400, "not a valid request");
+            case DUPLICATE -> say(409, "Req-Id: open already");
+            case DEADLINE -> say(504, "no answer in time");
+            default -> say(502, "failed, it may have run");
+        }
+    }
+
+    void say(int status, String message) {
+        if (over) return;
+        over = true;
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send("{\"error\":{\"message\":\"" + message + "\"}}\n");
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -0,0 +1,194 @@
+package maplerail.net;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import maplerail.Router.Outcome;
+import maplerail.config.ConfigException;
+import maplerail.config.Tree;
+import maplerail.core.Ask;
+import maplerail.core.Engines;
+
+/** Attempts and releases on the platform's wire. */
+public final class EngineClient implements Engines {
+    private static final HttpString DEADLINE = new HttpString("Req-Deadline");
+    private static final HttpString DECLINED = new HttpString("Srv-Declined");
+    private static final double AGAIN_MS = 60; // between two tries at a release
+    private static final double SILENT_MS = 200; // after which a release that was not answered is tried again
+    private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
+
+    private final Pool pool;
+    private final XnioLoop loop;
+    private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
+
+    /** Makes a client that opens its connections from a pool. */
+    public EngineClient(Pool pool) {
+        this.pool = pool;
+        this.loop = pool.loop();
+    }
+
+    /** Where engines are; one that left the list stays known, as something may be held there. */
+    public void addresses(Map<Long, InetSocketAddress> news) {
+        addresses.putAll(news);
+    }
+
+    @Override
+    public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
+        HttpCargo cargo = (HttpCargo) ask.cargo();
+        InetSocketAddress to = addresses.get(engine);
+        ClientRequest request = request(cargo.method(), cargo.target(), to);
+        for (Map.Entry<HttpString, String> header : cargo.headers()) {
+            request.getRequestHeaders().add(header.getKey(), header.getValue());
+        }
+        double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
+        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
+        if (cargo.body().length > 0) request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
+        Call call = pool.start(to, request, cargo.body(), new Incoming(answer));
+        return new Sent(call);
+    }
+
+    private static ClientRequest request(HttpString method, String target, InetSocketAddress to) {
+        ClientRequest request = new ClientRequest().setMethod(method).setPath(target);
+        request.getRequestHeaders().put(Headers.HOST, to.getAddress().getHostAddress() + ":" + to.getPort());
+        return request;
+    }
+
+    private record Sent(Call call) implements Sending {
+        @Override
+        public boolean unsent() {
+            return call.unsent();
+        }
+
+        @Override
+        public void abort() {
+            call.abort();
+        }
+
+        @Override
+        public void pause() {
+            call.pause();
+        }
+
+        @Override
+        public void resume() {
+            call.resume();
+        }
+    }
+
+    /** An engine's answer, told as an outcome. */
+    private static final class Incoming implements Reply {
+        private final Answer answer;
+        private final EventSplitter events = new EventSplitter();
+        private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+        private Outcome meaning;
+        private boolean framed;
+
+        Incoming(Answer answer) {
+            this.answer = answer;
+        }
+
+        @Override
+        public void head(int status, HeaderMap headers) {
+            boolean declined = "1".equals(headers.getFirst(DECLINED));
+            meaning = switch (status) {
+                case 200 -> Outcome.SERVED;
+                case 202 -> Outcome.READ;
+                case 410 -> declined ? Outcome.STATE_GONE : Outcome.ERROR;
+                case 429, 503, 504 -> declined ? Outcome.FULL : Outcome.ERROR;
+                default -> Outcome.ERROR;
+            };
+            // Without framing the end of the connection is no sign of a whole answer.
+            framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
+        }
+
+        @Override
+        public void body(ByteBuffer piece) {
+            if (meaning == Outcome.SERVED) {
+                if (!events.feed(piece, answer::event)) framed = false;
+            } else if (text.size() < MOST_READ) {
+                while (piece.hasRemaining()) text.write(piece.get());
+            }
+        }
+
+        @Override
+        public void end() {
+            if (meaning == Outcome.SERVED && framed && events.rest().length > 0) answer.event(events.rest());
+            answer.ended(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning, kept());
+        }
+
+        private double kept() {
+            if (meaning != Outcome.READ) return 0;
+            try {
+                return Tree.any("read", text.toString(StandardCharsets.UTF_8)).at("cached_tokens").number(0);
+            } catch (ConfigException e) {
+                return 0;
+            }
+        }
+
+        @Override
+        public void failed(boolean neverSent) {
+            // A head that says that it never ran holds, though its body broke off.
+            if (meaning != null && meaning != Outcome.READ && meaning.neverRan) answer.ended(meaning, 0);
+            else answer.ended(neverSent ? Outcome.UNREACHABLE : Outcome.RESET, 0);
+        }
+    }
+
+    @Override
+    public void release(long engine, String id, double untilMs) {
+        InetSocketAddress to = addresses.get(engine);
+        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs).attempt();
+    }
+
+    /** A release goes on until it is answered or too late: the time runs while connections fail to come up. */
+    private final class Release implements Reply {
+        private final InetSocketAddress to;
+        private final String target;
+        private final double untilMs;
+        private Call call;
+        private maplerail.core.Loop.Alarm silence;
+
+        Release(InetSocketAddress to, String target, double untilMs) {
+            this.to = to;
+            this.target = target;
+            this.untilMs = untilMs;
+        }
+
+        void attempt() {
+            call = pool.start(to, request(Methods.DELETE, target, to), new byte[0], this);
+            silence = loop.at(loop.nowMs() + SILENT_MS, () -> {
+                call.abort();
+                again(0);
+            });
+        }
+
+        private void again(double afterMs) {
+            silence.cancel();
+            if (loop.nowMs() + afterMs < untilMs) loop.at(loop.nowMs() + afterMs, this::attempt);
+        }
+
+        @Override
+        public void head(int status, HeaderMap headers) {
+            silence.cancel();
+        }
+
+        @Override
+        public void body(ByteBuffer piece) { }
+
+        @Override
+        public void end() { }
+
+        @Override
+        public void failed(boolean neverSent) {
+            again(AGAIN_MS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/net/Reply.java
@@ -0,0 +1,19 @@
+package maplerail.net;
+
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+
+/** What hears the answer to a {@link Call}: a head, pieces of the body, then one end or failure. */
+public interface Reply {
+    /** Status line and headers have come. */
+    void head(int status, HeaderMap headers);
+
+    /** A piece of the body; the buffer is the listener's only during the call. */
+    void body(ByteBuffer piece);
+
+    /** The body came to its end as the framing has it. */
+    void end();
+
+    /** No answer or no end of it; {@code neverSent} if the last byte was certainly not written. */
+    void failed(boolean neverSent);
+}
--- /dev/null
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -0,0 +1,40 @@
+package maplerail.net;
+
+import java.util.concurrent.TimeUnit;
+import maplerail.core.Loop;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
+public final class XnioLoop implements Loop {
+    private final XnioIoThread thread;
+    private final long startNanos = System.nanoTime();
+    private final double startMs = System.currentTimeMillis();
+
+    /** Makes the loop of a thread. */
+    public XnioLoop(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    /** The thread. */
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    @Override
+    public double nowMs() {
+        return startMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    @Override
+    public Alarm at(double whenMs, Runnable task) {
+        long micros = (long) Math.ceil(Math.max(0, whenMs - nowMs()) * 1_000);
+        XnioExecutor.Key key = thread.executeAfter(task, micros, TimeUnit.MICROSECONDS);
+        return key::remove;
+    }
+
+    /** Runs a task soon, from any thread. */
+    public void execute(Runnable task) {
+        thread.execute(task);
+    }
+}
--- a/src/main/java/maplerail/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import maplerail.Router;
+import maplerail.config.SettingsReader;
 
 /** Hosts one decision module for each simulated node and passes events and actions between them and the wire. */
 final class Host {
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -43,6 +43,27 @@
                 .check(classes);
     }
 
+    @Test
+    void theCoreKnowsNoWire() {
+        ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.core..").should().dependOnClassesThat()
+                .resideInAnyPackage("io.undertow..", "org.xnio..", "com.fasterxml..", "java.net..", "java.nio..",
+                        "maplerail.net..", "maplerail.front..", "maplerail.discovery..", "maplerail.config..",
+                        "maplerail.cli..", "maplerail.sim..").check(classes);
+    }
+
+    @Test
+    void theFrontsDoNotKnowEachOtherNorTheSimulator() {
+        ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.front.platform..").should()
+                .dependOnClassesThat().resideInAnyPackage("maplerail.front.jsonrpc..", "maplerail.sim..")
+                .check(classes);
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("maplerail.net..", "maplerail.discovery..",
+                "maplerail.config..").should().dependOnClassesThat()
+                .resideInAnyPackage("maplerail.front..", "maplerail.cli..", "maplerail.sim..").check(classes);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.sim..").should().dependOnClassesThat()
+                .resideInAnyPackage("io.undertow..", "org.xnio..", "maplerail.net..", "maplerail.core..")
+                .check(classes);
+    }
+
     @Test
     void logicIsShortEnoughToReadAloud() throws IOException {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/maplerail/Logic.java"));
