--- /dev/null
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -0,0 +1,108 @@
+package maplerail.cli;
+
+import static maplerail.support.World.await;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the packaged program by the deploy file's own lines and speaks to it over sockets. */
+class JarIT {
+    @TempDir
+    Path folder;
+
+    private static String line(String key) throws Exception {
+        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith(key + " = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
+    }
+
+    private Process start(String command, String config) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+        if (config != null) builder.environment().put("RELAY_CONFIG", config);
+        return builder.redirectError(new File(folder.toFile(), "log")).start();
+    }
+
+    /** The port that the program says it listens on; 0 before it does. */
+    private int port() {
+        try {
+            String log = Files.readString(folder.resolve("log"));
+            Matcher said = Pattern.compile("listens on \\S*:(\\d+)\\s").matcher(log);
+            return said.find() ? Integer.parseInt(said.group(1)) : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static String say(int port, String request) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            return World.readAll(socket.getInputStream());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    @Test
+    void theProgramServesAndFinishesWhatItTookAfterTheSignal() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.stream();
+            x.chunk("data: 1\n\n");
+            streams.add(x);
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start(line("run"), config.toString());
+            try {
+                await("listening", () -> port() > 0);
+                int port = port();
+                await("ready", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+                try (Socket client = new Socket("127.0.0.1", port)) {
+                    client.getOutputStream().write(World.request("a1", "lookup", "5.0")
+                            .getBytes(StandardCharsets.UTF_8));
+                    StandIn.Exchange stream = World.take(streams);
+                    gateway.destroy(); // SIGTERM
+                    await("draining", () -> say(port, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 503 "));
+                    stream.chunk("data: [DONE]\n\n");
+                    stream.last();
+                    InputStream in = client.getInputStream();
+                    assertThat(World.readAll(in)).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+                }
+                await("ended", () -> !gateway.isAlive());
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
+        Process adapter = start(line("sim"), null);
+        adapter.getOutputStream().write(new byte[16]);
+        adapter.getOutputStream().close();
+        assertThat(adapter.getInputStream().readAllBytes()).isEqualTo(new byte[8]);
+        assertThat(adapter.waitFor()).isZero();
+    }
+
+    @Test
+    void badConfigurationEndsItWith2() throws Exception {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{}");
+        Process gateway = start(line("run"), config.toString());
+        assertThat(gateway.waitFor()).isEqualTo(2);
+        assertThat(Files.readString(folder.resolve("log"))).contains("config.settings: missing");
+    }
+}
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         if (gateway != null) {
             gateway.stop();
         }
