Three failures found by tests: half-written connections, eventless answers, module faults

A whole answer with no event waited for the deadline's guard. A fault of the module lost the caller's ticket.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -32,7 +32,7 @@
         takeIn = new TakeIn(loop, book);
         relay = new Relay(book);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
-        route = new Route(router, loop, this::perform, send::settle);
+        route = new Route(router, loop, this::perform, send::settle, log);
         send.use(route);
     }
 
--- a/src/main/java/maplerail/core/Route.java
+++ b/src/main/java/maplerail/core/Route.java
@@ -12,13 +12,25 @@
     private final Consumer<Router.Action> perform;
     private final ArrayDeque<Router.Event> waiting = new ArrayDeque<>();
     private final Runnable settled;
+    private final Consumer<String> log;
     private boolean stepping;
 
-    Route(Router router, Loop loop, Consumer<Router.Action> perform, Runnable settled) {
+    Route(Router router, Loop loop, Consumer<Router.Action> perform, Runnable settled, Consumer<String> log) {
         this.router = router;
         this.loop = loop;
         this.perform = perform;
         this.settled = settled;
+        this.log = log;
+    }
+
+    /** Guards against a fault of the module: it costs this event; the deadline's guard answers its request. */
+    private List<Router.Action> decide(Router.Event event) {
+        try {
+            return router.step(loop.nowMs(), List.of(event));
+        } catch (RuntimeException e) {
+            log.accept("the module failed on " + event.getClass().getSimpleName() + ": " + e);
+            return List.of();
+        }
     }
 
     /** An event that an action brings about waits until the actions before it are done. */
@@ -28,8 +40,7 @@
         stepping = true;
         try {
             for (Router.Event next = waiting.poll(); next != null; next = waiting.poll()) {
-                List<Router.Action> actions = router.step(loop.nowMs(), List.of(next));
-                actions.forEach(perform);
+                decide(next).forEach(perform);
             }
             settled.run();
         } finally {
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -112,6 +112,8 @@
         if (read) entry.holds.add(attempt.engine);
         // A read that was cut off may have ended well just then.
         if (read || attempt.reader && !outcome.neverRan) entry.mayHold.add(attempt.engine);
+        // An answer may be whole without an event; it is the caller's all the same.
+        if (outcome == Outcome.SERVED && entry.winner == null && !entry.answered) entry.winner = attempt;
         if (entry.winner == attempt) relay.ended(attempt, outcome);
         route.tell(new Router.Ended(entry.number, attempt.number, attempt.engine, outcome,
                 loop.nowMs() - attempt.sentMs, kept, entry.answered, UNTOLD));
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -153,7 +153,9 @@
                     return;
                 } else {
                     done = true;
-                    pool.free(connection);
+                    // The library would hold the next request back behind the rest of one that is half written.
+                    if (written) pool.free(connection);
+                    else kill(connection);
                     reply.end();
                 }
             }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -30,6 +30,7 @@
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
+    private boolean broken;
     private Broker broker;
 
     private static final class TestLoop implements Loop {
@@ -93,6 +94,7 @@
     @BeforeEach
     void start() {
         Router router = (now, events) -> {
+            if (broken) throw new IllegalStateException("oops");
             told.addAll(events);
             List<Router.Action> actions = List.copyOf(next);
             next.clear();
@@ -186,6 +188,25 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    @Test
+    void aWholeAnswerWithoutAnEventIsServedAtOnce() {
+        take("a", send(WRITER));
+        out.get(0).answer.ended(Outcome.SERVED, 0);
+        assertThat(caller).containsExactly("end");
+        assertThat(broker.remembered()).isZero();
+    }
+
+    @Test
+    void aFaultOfTheModuleCostsOneEventAndNoAnswer() {
+        broken = true;
+        take("a");
+        broken = false;
+        take("b", new Refuse(2, 0));
+        assertThat(caller).containsExactly("refuse OVERLOAD 0");
+        loop.until(6_004);
+        assertThat(caller).containsExactly("refuse OVERLOAD 0", "fail DEADLINE");
+    }
+
     @Test
     void aSlowCallerStopsTheEngineUntilItCanTakeMore() {
         Ticket ticket = take("a", send(WRITER));
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -7,7 +7,10 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.concurrent.BlockingQueue;
 import maplerail.support.StandIn;
@@ -39,24 +42,26 @@
     }
 
     private String post(Pool pool, InetSocketAddress to) throws Exception {
-        loop.execute(() -> pool.start(to, request(to), "{}".getBytes(), new Reply() {
-            @Override
-            public void head(int status, HeaderMap headers) { }
+        loop.execute(() -> pool.start(to, request(to), "{}".getBytes(), new Heard(heard)));
+        return take(heard);
+    }
 
-            @Override
-            public void body(ByteBuffer piece) { }
+    private record Heard(BlockingQueue<String> by) implements Reply {
+        @Override
+        public void head(int status, HeaderMap headers) { }
 
-            @Override
-            public void end() {
-                heard.add("end");
-            }
+        @Override
+        public void body(ByteBuffer piece) { }
 
-            @Override
-            public void failed(boolean neverSent) {
-                heard.add(neverSent ? "never sent" : "may have run");
-            }
-        }));
-        return take(heard);
+        @Override
+        public void end() {
+            by.add("end");
+        }
+
+        @Override
+        public void failed(boolean neverSent) {
+            by.add(neverSent ? "never sent" : "may have run");
+        }
     }
 
     private static io.undertow.client.ClientRequest request(InetSocketAddress to) {
@@ -90,6 +95,26 @@
         }
     }
 
+    /** The client library would hold the next request back behind the rest of this one. */
+    @Test
+    void aConnectionOnWhichARequestIsHalfWrittenIsNotUsedAgain() throws Exception {
+        BlockingQueue<String> ends = World.queue();
+        try (ServerSocket server = new ServerSocket(0, 9, InetAddress.getByName("127.0.0.1"))) {
+            InetSocketAddress at = (InetSocketAddress) server.getLocalSocketAddress();
+            Pool pool = pool(1e12);
+            loop.execute(() -> {
+                io.undertow.client.ClientRequest request = Requests.to(at, Methods.POST, "/");
+                request.getRequestHeaders().put(io.undertow.util.Headers.CONTENT_LENGTH, 32 << 20);
+                pool.start(at, request, new byte[32 << 20], new Heard(ends));
+            });
+            try (Socket early = server.accept()) {
+                early.getOutputStream().write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".getBytes());
+                assertThat(take(ends)).isEqualTo("end");
+                World.readAll(early.getInputStream());
+            }
+        }
+    }
+
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
         StandIn gone = new StandIn(x -> { });
