--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -2,17 +2,14 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
 import maplerail.net.Call;
 import maplerail.net.Pool;
-import maplerail.net.Reply;
 import maplerail.net.Requests;
+import maplerail.net.TextReply;
 import maplerail.net.XnioLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,7 +21,6 @@
     private static final double GRACE_MS = 2_000 + WAIT_S * 1_000 / 16; // Consul adds up to a sixteenth
     private static final double FIRST_AGAIN_MS = 100;
     private static final double MOST_AGAIN_MS = 5_000;
-    private static final int MOST = 4 << 20;
 
     private final Pool pool;
     private final XnioLoop loop;
@@ -46,11 +42,7 @@
         String target = path + (index == 0 ? "" : "?index=" + index + "&wait=" + WAIT_S + "s");
         Asked asked = new Asked();
         Call call = pool.start(at, Requests.to(at, Methods.GET, target), new byte[0], asked);
-        loop.at(loop.nowMs() + WAIT_S * 1_000 + GRACE_MS, () -> {
-            if (asked.over) return;
-            call.abort();
-            asked.failed(false);
-        });
+        loop.at(loop.nowMs() + WAIT_S * 1_000 + GRACE_MS, () -> asked.expire(call));
     }
 
     /**
@@ -62,48 +54,29 @@
         return index < last ? 0 : index;
     }
 
-    private final class Asked implements Reply {
-        private final ByteArrayOutputStream text = new ByteArrayOutputStream();
-        private int status;
-        private String told;
-        private boolean over;
-
-        @Override
-        public void head(int code, HeaderMap headers) {
-            status = code;
-            told = headers.getFirst("X-Consul-Index");
-        }
-
-        @Override
-        public void body(ByteBuffer piece) {
-            while (piece.hasRemaining() && text.size() < MOST) text.write(piece.get());
-        }
-
+    private final class Asked extends TextReply {
         @Override
-        public void end() {
-            if (over) return;
+        protected boolean whole(int status, HeaderMap headers, String text) {
             try {
                 if (status != 200) throw new ConfigException("status " + status);
-                Tree answer = Tree.any(path, text.toString(StandardCharsets.UTF_8));
+                Tree answer = Tree.any(path, text);
                 long before = index;
-                index = next(before, told);
+                index = next(before, headers.getFirst("X-Consul-Index"));
                 // A wait that ended without news repeats the index.
                 if (index == 0 || index != before) news.accept(answer);
-                over = true;
-                againMs = FIRST_AGAIN_MS;
-                if (index > 0) ask();
-                else loop.at(loop.nowMs() + FIRST_AGAIN_MS, BlockingQuery.this::ask);
             } catch (ConfigException e) {
                 LOG.warn("consul: {}", e.getMessage());
                 index = 0;
-                failed(false);
+                return false;
             }
+            againMs = FIRST_AGAIN_MS;
+            if (index > 0) ask();
+            else loop.at(loop.nowMs() + FIRST_AGAIN_MS, BlockingQuery.this::ask);
+            return true;
         }
 
         @Override
-        public void failed(boolean neverSent) {
-            if (over) return;
-            over = true;
+        protected void none() {
             loop.at(loop.nowMs() + againMs, BlockingQuery.this::ask);
             againMs = Math.min(MOST_AGAIN_MS, againMs * 2);
         }
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -3,10 +3,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
@@ -14,8 +11,8 @@
 import maplerail.config.Tree;
 import maplerail.net.Call;
 import maplerail.net.Pool;
-import maplerail.net.Reply;
 import maplerail.net.Requests;
+import maplerail.net.TextReply;
 import maplerail.net.XnioLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,7 +23,6 @@
     private static final long WAIT_MS = 20_000;
     private static final double GRACE_MS = 2_000; // past its wait, after which a call is held to be lost
     private static final double AGAIN_MS = 50;
-    private static final int MOST = 4 << 20;
 
     private final Pool pool;
     private final XnioLoop loop;
@@ -50,52 +46,32 @@
         new Asked().start(Requests.to(at, Methods.GET, target));
     }
 
-    private final class Asked implements Reply {
-        private final ByteArrayOutputStream text = new ByteArrayOutputStream();
-        private int status;
-        private boolean over;
-
+    private final class Asked extends TextReply {
         void start(ClientRequest request) {
             Call call = pool.start(at, request, new byte[0], this);
             // Guards against an agent that was cut off: its connection would stay open and silent.
-            loop.at(loop.nowMs() + (version < 0 ? GRACE_MS : WAIT_MS + GRACE_MS), () -> {
-                if (over) return;
-                call.abort();
-                failed(false);
-            });
-        }
-
-        @Override
-        public void head(int code, HeaderMap headers) {
-            status = code;
-        }
-
-        @Override
-        public void body(ByteBuffer piece) {
-            while (piece.hasRemaining() && text.size() < MOST) text.write(piece.get());
+            loop.at(loop.nowMs() + (version < 0 ? GRACE_MS : WAIT_MS + GRACE_MS), () -> expire(call));
         }
 
         @Override
-        public void end() {
-            if (over) return;
+        protected boolean whole(int status, HeaderMap headers, String text) {
+            EngineList list;
             try {
                 if (status != 200) throw new ConfigException("status " + status);
-                EngineList list = EngineList.read(Tree.object("list", text.toString(StandardCharsets.UTF_8)), names);
-                over = true;
-                version = list.version();
-                ask();
-                news.accept(list);
+                list = EngineList.read(Tree.object("list", text), names);
             } catch (ConfigException e) {
                 LOG.warn("discovery: {}", e.getMessage());
                 version = -1;
-                failed(false);
+                return false;
             }
+            version = list.version();
+            ask();
+            news.accept(list);
+            return true;
         }
 
         @Override
-        public void failed(boolean neverSent) {
-            if (over) return;
-            over = true;
+        protected void none() {
             loop.at(loop.nowMs() + AGAIN_MS, PlatformWatch.this::ask);
         }
     }
--- a/src/main/java/maplerail/front/jsonrpc/AnswerCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/AnswerCaller.java
@@ -1,14 +1,11 @@
 package maplerail.front.jsonrpc;
 
 import java.nio.charset.StandardCharsets;
-import maplerail.core.Caller;
 
 /** Tells an answer's events as notifications, each as it comes, and its end as the request's result. */
-final class AnswerCaller implements Caller {
-    private final Session.Pending pending;
-
+final class AnswerCaller extends RpcCaller {
     AnswerCaller(Session.Pending pending) {
-        this.pending = pending;
+        super(pending);
     }
 
     @Override
@@ -35,14 +32,4 @@
     public void broken() {
         pending.finish(RpcError.FAILED.failed(pending.id, "the answer broke off"));
     }
-
-    @Override
-    public void refuse(Why why, double retryAfterMs) {
-        pending.finish(why, true, retryAfterMs);
-    }
-
-    @Override
-    public void fail(Why why) {
-        pending.finish(why, false, 0);
-    }
 }
--- a/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
@@ -3,15 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import maplerail.config.Json;
-import maplerail.core.Caller;
 
 /** Waits for a tool server's reply and passes its result or error on to the letter. */
-final class ToolCaller implements Caller {
-    private final Session.Pending pending;
+final class ToolCaller extends RpcCaller {
     private String reply = "";
 
     ToolCaller(Session.Pending pending) {
-        this.pending = pending;
+        super(pending);
     }
 
     @Override
@@ -35,14 +33,4 @@
     public void broken() {
         pending.finish(Why.ENGINE, false, 0);
     }
-
-    @Override
-    public void refuse(Why why, double retryAfterMs) {
-        pending.finish(why, true, retryAfterMs);
-    }
-
-    @Override
-    public void fail(Why why) {
-        pending.finish(why, false, 0);
-    }
 }
