Early bytes are the client's next request; a lost watch answer is missed for 5 s at most

A client that sent its next request before the answer's end was taken for gone (test seen to fail: nothing came). Its bytes now go back to the server's reader.

--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -20,8 +20,8 @@
 /** Watches the platform's list: each next call follows the last answer at once, well within 200 ms. */
 public final class PlatformWatch {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
-    private static final long WAIT_MS = 20_000;
-    private static final double GRACE_MS = 2_000; // past its wait, after which a call is held to be lost
+    private static final long WAIT_MS = 5_000; // an answer that was lost is missed for no longer
+    private static final double GRACE_MS = 1_000; // past its wait, after which a call is held to be lost
     private static final double AGAIN_MS = 50;
 
     private final Pool pool;
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -1,7 +1,8 @@
 package maplerail.front.platform;
 
-import io.undertow.server.AbstractServerConnection;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -45,7 +46,7 @@
      * the end of its side here. The framing's own channel says that too, at the end of the body.
      */
     private void watch() {
-        if (!(exchange.getConnection() instanceof AbstractServerConnection connection)) return;
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
         StreamSourceConduit raw = connection.getOriginalSourceConduit();
         ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
         source.setReadListener(c -> {
@@ -53,14 +54,21 @@
                 raw.suspendReads(); // what has come is the next request's: the server reads it after this one
                 return;
             }
-            ByteBuffer one = ByteBuffer.allocate(1);
+            PooledByteBuffer early = connection.getByteBufferPool().allocate();
             try {
-                int count = raw.read(one);
+                int count = raw.read(early.getBuffer());
                 if (count < 0) left();
-                // A client sends one request at a time: what it sends early can't be put back in its place.
-                if (count > 0) left();
+                if (count > 0) {
+                    // Not gone but early: the server reads it as the next request, after this one.
+                    early.getBuffer().flip();
+                    connection.ungetRequestBytes(early);
+                    raw.suspendReads();
+                    early = null;
+                }
             } catch (IOException e) {
                 left();
+            } finally {
+                if (early != null) early.close();
             }
         });
         raw.resumeReads();
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -200,6 +200,22 @@
         }
     }
 
+    @Test
+    void whatAClientSendsEarlyIsItsNextRequest() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(streams::add);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            client.getOutputStream().write(request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+            StandIn.Exchange first = take(streams);
+            String closing = request("a2", "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+            client.getOutputStream().write(closing.getBytes(StandardCharsets.UTF_8));
+            first.reply(200, "data: one\n\n");
+            take(streams).reply(200, "data: two\n\n");
+            assertThat(World.readAll(client.getInputStream())).contains("data: one\n\n", "data: two\n\n");
+        }
+    }
+
     @Test
     void twoOpenRequestsOfOneIdCannotBe() throws Exception {
         BlockingQueue<StandIn.Exchange> waiting = World.queue();
