Admission believes a writer's waits no longer than they are seen

Log lines in admission showed all writers' waits stuck at the jam's median (1235 ms) with first tokens at 336 ms. Ruled out: readers' queues, stuck attempts (both 0). At fault: waitMs() keeps the usual wait of engines that nothing is sent to. It fades in admission now.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -847,7 +847,7 @@
     private boolean overloaded(Request request) {
         Engine reader = chooseReader(request, null);
         if (reader == null) return false;
-        double[] waits = able(request, null, e -> e.role != Role.READ).stream().mapToDouble(this::waitMs)
+        double[] waits = able(request, null, e -> e.role != Role.READ).stream().mapToDouble(this::lately)
                 .sorted().toArray();
         double median = waits.length == 0 ? 0 : waits[(waits.length - 1) / 2];
         double own = Math.max(readMs(reader, reader.queued), oldestMs(reader));
@@ -895,6 +895,11 @@
         return Math.max(oldestMs(engine), seen);
     }
 
+    /** A jam is believed no longer than it is seen: admission, once shut, would get no news to open on. */
+    private double lately(Engine engine) {
+        return Math.max(oldestMs(engine), waitMs(engine) * Math.exp((engine.heardMs - now) / POOL_MS));
+    }
+
     private double oldestMs(Engine engine) {
         return engine.out.stream().filter(a -> !a.begun && !a.cancelled).findFirst()
                 .map(a -> now - a.sentMs).orElse(0.0);
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -690,6 +690,23 @@
         assertTrue(node.of(Refuse.class).size() > 5);
     }
 
+    /** Found on a drawn day with slow boxes: the waits of a jam were believed for most of a minute after its end. */
+    @Test
+    void admissionOpensAgainWhenAJamIsNoLongerSeen() {
+        Node node = small();
+        for (long id = 1; id <= 12; id++, node.now += 100) {
+            node.arrive(id, id, 0, 1_000, 5_000);
+            node.end(id, 0, Outcome.READ, 10, 0, false);
+            node.on(new Router.FirstToken(id, 1, 0, 2_000));
+            node.end(id, 1, Outcome.SERVED);
+        }
+        node.arrive(13, 13, 0, 1_000, 5_000);
+        assertNull(node.sent(), "a jam");
+        node.now += 12_000;
+        node.arrive(14, 14, 0, 1_000, 5_000);
+        assertNotNull(node.sent(), "nothing has been heard of it for long");
+    }
+
     @Test
     void aLongPromptWithoutAQueueIsNotOverload() {
         Node node = small();
