Client connections are counted and idle, silent or half-said ones end to make room

Checked: memory (57 of 160 MB) and CPU were not the limit. Lines at fault: Gateway.start, which set no limit on connections, no idle and no parse time-out. Now front.Door counts connections at each listener, ends idle ones after 2 s while room is short, silent and half-said requests 2.5 s after their start (408 where something was said); past 45% of limits.sockets nothing is accepted. Timers no longer fire early: XNIO cuts off parts of a millisecond.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -1,12 +1,16 @@
 package maplerail.cli;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import maplerail.Logic;
 import maplerail.Router;
 import maplerail.config.EngineList;
@@ -18,6 +22,7 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
+import maplerail.front.Door;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
 import maplerail.net.EngineClient;
@@ -25,10 +30,13 @@
 import maplerail.net.XnioLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** One real gateway: puts the parts together and takes them from start to exit. */
 public final class Gateway {
@@ -36,6 +44,10 @@
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
     private static final double LOOK_MS = 20;
     private static final int BUFFER = 8 * 1024;
+    private static final int MOST_HEAD = 16 * 1024; // bytes of a request's head
+    /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
+    private static final int CLIENT_PERCENT = 45;
+    private static final int RPC_PERCENT = 10;
 
     private final NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
@@ -50,7 +62,9 @@
     private final ToolServices tools;
     private final RpcFront rpc;
     private final InetSocketAddress rpcListen;
-    private Undertow server;
+    private AcceptingChannel<?> server;
+    private AcceptingChannel<?> rpcServer;
+    private final List<Door> doors = new ArrayList<>();
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
@@ -80,7 +94,7 @@
 
     /** Where the second front listens, if it is on. */
     public InetSocketAddress rpcAddress() {
-        return (InetSocketAddress) server.getListenerInfo().get(1).getAddress();
+        return rpcServer.getLocalAddress(InetSocketAddress.class);
     }
 
     /** Requests of which anything is still remembered, at either front. */
@@ -90,11 +104,11 @@
 
     /** Where it listens, once it does. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return server.getLocalAddress(InetSocketAddress.class);
     }
 
     /** Listens and serves; ready as soon as any list of engines is known. */
-    public void start() {
+    public void start() throws IOException {
         loop.execute(() -> {
             EngineList known = config.known();
             if (known != null) {
@@ -105,18 +119,30 @@
             if (tools != null) tools.start();
             if (known != null && !known.members().isEmpty()) ready();
         });
-        Undertow.Builder builder = Undertow.builder().setWorker(worker).setByteBufferPool(buffers)
-                .addHttpListener(config.listen().getPort(), config.listen().getAddress().getHostAddress(), front)
-                .setSocketOption(Options.BACKLOG, 1_024).setSocketOption(Options.TCP_NODELAY, true)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, -1)
-                .setServerOption(UndertowOptions.SHUTDOWN_TIMEOUT, 0);
-        if (rpc != null) builder.addHttpListener(rpcListen.getPort(), rpcListen.getAddress().getHostAddress(), rpc);
-        server = builder.build();
-        server.start();
+        server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
+        if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
         LOG.info("{} listens on {}", config.name(), address());
     }
 
+    /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
+    private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<Door> through)
+            throws IOException {
+        HttpOpenListener http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.ALWAYS_SET_DATE, false).set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .set(UndertowOptions.BUFFER_PIPELINED_DATA, true).getMap());
+        http.setRootHandler(handler);
+        int most = config.wire().sockets() * percent / 100;
+        Door door = new Door(http, loop, most);
+        doors.add(door);
+        through.accept(door);
+        AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
+                ChannelListeners.openListenerAdapter(door),
+                OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
+                        .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
+        listening.resumeAccepts();
+        return listening;
+    }
+
     private void hear(EngineList list) {
         engines.addresses(list.addresses());
         broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
@@ -139,9 +165,9 @@
     }
 
     private void finish() {
-        front.closeIdle();
+        doors.get(0).closeIdle();
         if (rpc != null) rpc.stopTaking();
-        if (front.open() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
+        if (doors.get(0).busy() > 0 || remembered() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
@@ -152,8 +178,11 @@
 
     /** Stops at once, whatever is open. */
     public void stop() {
-        server.stop();
-        worker.shutdownNow();
+        loop.execute(() -> {
+            IoUtils.safeClose(server, rpcServer);
+            doors.forEach(Door::close);
+            worker.shutdownNow();
+        });
     }
 
     /** Waits until it has stopped, then lets go of its threads and sockets. */
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -8,8 +8,11 @@
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, Names names,
         Router.Settings settings, EngineList known, Wire wire) {
 
-    /** Figures for the connections. */
-    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter) { }
+    private static final int SOCKETS = 1_024; // descriptors, where the configuration states no limit
+    private static final int LEAST_SOCKETS = 128;
+
+    /** Figures for the connections; {@code sockets} is the most descriptors that the program may hold. */
+    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets) { }
 
     /** Reads the configuration's text; the environment's addresses come first where it has them. */
     public static NodeConfig read(String text, Map<String, String> environment) {
@@ -24,7 +27,14 @@
                 address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"), names,
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
                 new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
-                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag()));
+                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root)));
+    }
+
+    private static int sockets(Tree root) {
+        Tree told = root.at("limits").at("sockets");
+        int sockets = (int) Math.min(1 << 20, told.number(SOCKETS));
+        if (sockets < LEAST_SOCKETS) throw new ConfigException(told.path() + ": under " + LEAST_SOCKETS);
+        return sockets;
     }
 
     private static InetSocketAddress address(String told, String variable, Tree root, String key) {
--- /dev/null
+++ b/src/main/java/maplerail/front/Door.java
@@ -0,0 +1,192 @@
+package maplerail.front;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import maplerail.core.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Every connection that clients have open at one listener, and since when each is what it is. Ends those that say
+ * nothing, or begin a request and don't end it, and makes room by ending those that have long been idle. Guards
+ * against clients that hold a descriptor for nothing: without one no other client and no engine can be reached.
+ */
+public final class Door implements ChannelListener<StreamConnection> {
+    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+    /** From the connection's start, or its request's first byte, until the request must be whole. */
+    private static final double ARRIVE_MS = 2_500;
+    private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
+    private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
+    private static final double LONG_IDLE_MS = 30_000;
+    private static final double LOOK_MS = 50;
+    private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
+            + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
+
+    private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT }
+
+    private final ChannelListener<StreamConnection> next;
+    private final Loop loop;
+    private final int most;
+    private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
+    private boolean looking;
+
+    private static final class Guest {
+        State state = State.SILENT;
+        double sinceMs;
+    }
+
+    /** A door before a server's listener, through which at most so many connections should be at once. */
+    public Door(ChannelListener<StreamConnection> next, Loop loop, int most) {
+        this.next = next;
+        this.loop = loop;
+        this.most = most;
+    }
+
+    @Override
+    public void handleEvent(StreamConnection connection) {
+        Guest guest = new Guest();
+        guest.sinceMs = loop.nowMs();
+        guests.put(connection, guest);
+        connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), guest));
+        if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
+        looking = true;
+        next.handleEvent(connection);
+    }
+
+    /** Sees the first byte of what comes, so that a connection with a request on its way does not count as idle. */
+    private final class Noticing extends AbstractStreamSourceConduit<StreamSourceConduit> {
+        private final Guest guest;
+
+        Noticing(StreamSourceConduit from, Guest guest) {
+            super(from);
+            this.guest = guest;
+        }
+
+        @Override
+        public int read(ByteBuffer into) throws IOException {
+            int count = super.read(into);
+            if (count > 0) came();
+            return count;
+        }
+
+        @Override
+        public long read(ByteBuffer[] into, int offset, int length) throws IOException {
+            long count = super.read(into, offset, length);
+            if (count > 0) came();
+            return count;
+        }
+
+        private void came() {
+            // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
+            if (guest.state == State.IDLE) guest.sinceMs = loop.nowMs();
+            if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
+        }
+    }
+
+    /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
+    public void entered(HttpServerExchange exchange) {
+        exchange.addExchangeCompleteListener((done, proceed) -> {
+            set(done, State.IDLE);
+            proceed.proceed();
+        });
+    }
+
+    /** A request is whole: its connection stays until it is answered. */
+    public void open(HttpServerExchange exchange) {
+        set(exchange, State.OPEN);
+    }
+
+    /** The connection is no longer one of requests and answers; whoever took it over looks after it. */
+    public void keep(HttpServerExchange exchange) {
+        set(exchange, State.KEPT);
+    }
+
+    private void set(HttpServerExchange exchange, State state) {
+        ServerConnection connection = exchange.getConnection();
+        Guest guest = connection instanceof HttpServerConnection http ? guests.get(http.getChannel()) : null;
+        if (guest == null || guest.state == State.KEPT) return;
+        guest.state = state;
+        guest.sinceMs = loop.nowMs();
+    }
+
+    private void look() {
+        double now = loop.nowMs();
+        guests.keySet().removeIf(connection -> !connection.isOpen());
+        List<StreamConnection> ended = new ArrayList<>();
+        guests.forEach((connection, guest) -> {
+            double age = now - guest.sinceMs;
+            boolean late = switch (guest.state) {
+                case SILENT, ARRIVING -> age >= ARRIVE_MS;
+                case IDLE -> age >= LONG_IDLE_MS;
+                default -> false;
+            };
+            if (late) ended.add(connection);
+        });
+        ended.forEach(this::turnOut);
+        end(State.IDLE, IDLE_MS, now);
+        end(State.SILENT, SILENT_MS, now);
+        looking = !guests.isEmpty();
+        if (looking) loop.at(now + LOOK_MS, this::look);
+    }
+
+    private void turnOut(StreamConnection connection) {
+        Guest guest = guests.remove(connection);
+        if (guest.state == State.ARRIVING) {
+            try {
+                connection.getSinkChannel().write(ByteBuffer.wrap(TOO_LATE));
+            } catch (IOException e) {
+                LOG.debug("a client's connection failed", e); // it is ended next
+            }
+        }
+        IoUtils.safeClose(connection);
+    }
+
+    /** While room is short, ends those that have been in a state for the longest. */
+    private void end(State state, double leastMs, double now) {
+        int over = guests.size() - (most - most / ROOM_PART);
+        if (over <= 0) return;
+        guests.entrySet().stream()
+                .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
+                .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
+                .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOut);
+    }
+
+    /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
+    public void closeIdle() {
+        List<StreamConnection> idle = new ArrayList<>();
+        guests.forEach((connection, guest) -> {
+            if (guest.state == State.IDLE || guest.state == State.SILENT) idle.add(connection);
+        });
+        idle.forEach(IoUtils::safeClose);
+    }
+
+    /** Ends all connections: the worker's end alone would leave them open. */
+    public void close() {
+        List.copyOf(guests.keySet()).forEach(IoUtils::safeClose);
+    }
+
+    /** Connections on which a request is open or on its way. */
+    public int busy() {
+        return (int) guests.entrySet().stream().filter(e -> e.getKey().isOpen()
+                && (e.getValue().state == State.OPEN || e.getValue().state == State.ARRIVING)).count();
+    }
+
+    /** Connections in all. */
+    public int connections() {
+        return (int) guests.keySet().stream().filter(StreamConnection::isOpen).count();
+    }
+}
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -20,6 +20,7 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.core.Ticket;
+import maplerail.front.Door;
 
 /** JSON-RPC 2.0 over a WebSocket, one message for each text frame, for the teams that the operator's file names. */
 public final class RpcFront implements HttpHandler, Session.Methods {
@@ -32,6 +33,7 @@
     private final Set<Session> sessions = new HashSet<>();
     private final Set<WebSocketChannel> channels = new HashSet<>();
     private boolean taking = true;
+    private Door door;
 
     /** Makes a front before the platform's broker and one broker for each service of tools. */
     public RpcFront(ToolsConfig config, Map<String, Broker> services, Broker platform, Names names, Lifecycle lifecycle) {
@@ -41,8 +43,14 @@
         this.lifecycle = lifecycle;
     }
 
+    /** Tells through which door the clients come. */
+    public void at(Door in) {
+        door = in;
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
+        door.entered(exchange);
         String owner = exchange.getRequestHeaders().getFirst("Req-Owner");
         int team = config.teams().stream().map(ToolsConfig.Team::name).toList().indexOf(owner);
         if (!exchange.getRequestPath().equals(config.path())) {
@@ -53,6 +61,7 @@
             exchange.setStatusCode(503).endExchange();
         } else {
             WebSocketConnectionCallback opened = (upgraded, channel) -> open(channel, team);
+            door.keep(exchange); // a session may be quiet for as long as its client likes
             new WebSocketProtocolHandshakeHandler(opened).handleRequest(exchange);
         }
     }
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -7,14 +7,12 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import maplerail.config.Names;
 import maplerail.core.Ask;
 import maplerail.core.Broker;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.front.Door;
 import org.xnio.IoUtils;
 
 /** The platform's protocol before the broker: readiness, and one request for each exchange. */
@@ -25,9 +23,7 @@
     private final Broker broker;
     private final RequestReader reader;
     private final Lifecycle lifecycle;
-    /** Connections that clients keep, and those of them on which a request is open. */
-    private final Set<ServerConnection> connections = new HashSet<>();
-    private final Set<ServerConnection> busy = new HashSet<>();
+    private Door door;
 
     /** Makes a front for clients that name classes and tenants so. */
     public PlatformFront(Broker broker, Names names, Lifecycle lifecycle) {
@@ -36,15 +32,15 @@
         this.lifecycle = lifecycle;
     }
 
+    /** Tells through which door the clients come. */
+    public void at(Door in) {
+        door = in;
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
-        if (connections.add(connection)) connection.addCloseListener(connections::remove);
-        busy.add(connection);
-        exchange.addExchangeCompleteListener((done, next) -> {
-            busy.remove(connection);
-            next.proceed();
-        });
+        door.entered(exchange);
         if (lifecycle.phase() != Phase.READY) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
         Answer answer = new Answer(exchange);
         if (exchange.getRequestURI().equals("/-/ready")) {
@@ -69,6 +65,7 @@
     }
 
     private void take(HttpServerExchange exchange, Answer answer, byte[] body) {
+        door.open(exchange);
         if (body.length > MOST_BYTES) {
             answer.say(413, "the body is too large");
             return;
@@ -82,16 +79,4 @@
         }
         answer.hold(broker.take(ask, answer));
     }
-
-    /** Ends the connections on which no request is open, for a program that is about to stop. */
-    public void closeIdle() {
-        for (ServerConnection connection : List.copyOf(connections)) {
-            if (!busy.contains(connection)) IoUtils.safeClose(connection);
-        }
-    }
-
-    /** Requests that are not answered to the last byte yet. */
-    public int open() {
-        return busy.size();
-    }
 }
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -29,9 +29,9 @@
 
     @Override
     public Alarm at(double whenMs, Runnable task) {
-        long micros = (long) Math.ceil(Math.max(0, whenMs - nowMs()) * 1_000);
+        long millis = (long) Math.ceil(Math.max(0, whenMs - nowMs())); // the thread cuts off parts of one
         try {
-            XnioExecutor.Key key = thread.executeAfter(task, micros, TimeUnit.MICROSECONDS);
+            XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
             return key::remove;
         } catch (RejectedExecutionException e) {
             return () -> { }; // the thread is stopping: nothing is to happen any more
--- /dev/null
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -0,0 +1,68 @@
+package maplerail.front;
+
+import static maplerail.support.World.request;
+import static maplerail.support.World.take;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.Test;
+
+class DoorTest {
+    private static final int LIMIT_MS = 20_000; // ends a test that would never end
+    private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private static Socket send(World world, String text) throws Exception {
+        Socket socket = world.connect();
+        socket.setSoTimeout(LIMIT_MS);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    @Test
+    void whoSaysNothingOrHalfARequestIsTurnedOutButNotWhoWaitsForAnAnswer() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        String whole = request("a1", "lookup", "60").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.stream();
+            x.chunk("data: one\n\n");
+            streams.add(x);
+        });
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket waiting = send(world, whole); Socket silent = send(world, "");
+                Socket half = send(world, "POST / HTTP/1.1\r\nReq-"); Socket halfBody = send(world,
+                        whole.substring(0, whole.length() - 3))) {
+            StandIn.Exchange open = take(streams);
+            assertThat(silent.getInputStream().read()).isNegative();
+            assertThat(World.readAll(half.getInputStream())).startsWith("HTTP/1.1 408");
+            assertThat(World.readAll(halfBody.getInputStream())).startsWith("HTTP/1.1 408");
+            open.chunk("data: two\n\n");
+            open.last();
+            assertThat(World.readAll(waiting.getInputStream())).contains("data: one\n\n").endsWith("\r\n0\r\n\r\n");
+            assertThat(writer.count("POST")).isEqualTo(1);
+        }
+    }
+
+    /** Clients that ask once and stay would otherwise take every descriptor. */
+    @Test
+    void idleConnectionsMakeRoomForNewOnes() throws Exception {
+        List<Socket> stayed = new ArrayList<>();
+        try (World world = new World().sockets(128).start()) {
+            for (int i = 0; i < 100; i++) {
+                stayed.add(send(world, READY));
+                assertThat(stayed.get(i).getInputStream().read()).isEqualTo('H');
+            }
+            assertThat(World.readAll(stayed.get(0).getInputStream())).startsWith("TTP/1.1 200");
+            Socket last = stayed.get(99);
+            last.getOutputStream().write(READY.getBytes(StandardCharsets.UTF_8));
+            assertThat(last.getInputStream().read()).isPositive();
+        } finally {
+            for (Socket socket : stayed) socket.close();
+        }
+    }
+}
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -34,6 +34,7 @@
     private final Map<String, String> hosts = new TreeMap<>();
     private StandIn discovery;
     private long version = 1;
+    private int sockets = 1_024;
     public Gateway gateway;
 
     public World() throws IOException {
@@ -49,6 +50,11 @@
         return this;
     }
 
+    public World sockets(int most) {
+        sockets = most;
+        return this;
+    }
+
     public World engine(String host, String kind, StandIn at) {
         return engine(host, kind, at, "in_service");
     }
@@ -71,7 +77,7 @@
 
     public String config(String listen) {
         return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
     }
 
     public World start() throws Exception {
