SIGHUP reads the configuration again and moves the watch; it no longer ends the program

PlatformWatch kept its address for good. Checked: the list itself was heard at the old address until it closed. Now Hangup takes the signal, Main reads both files again (an unreadable one is logged with its key and the old one stays; RELAY_DISCOVERY counts at the start only), PlatformWatch and Consul's queries move, and a list older than ours is not believed for 2 s after a move. Open requests and what the module learnt stay.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -154,6 +154,18 @@
         if (lifecycle.phase() == Phase.STARTING) lifecycle.move(Phase.READY);
     }
 
+    /**
+     * Takes what may change while it runs from a new configuration: where discovery is, and Consul. Open requests
+     * and all that was learnt stay. Either may be null for no news.
+     */
+    public void reload(NodeConfig news, ToolsConfig toolsNews) {
+        loop.execute(() -> {
+            if (news != null) watch.move(news.discovery());
+            if (toolsNews != null && tools != null) tools.reload(toolsNews);
+            if (news != null) LOG.info("configuration read again: discovery is at {}", news.discovery());
+        });
+    }
+
     /** The signal to stop: serves what still arrives for a while, finishes what it has taken, then stops. */
     public void drain() {
         loop.execute(() -> {
--- /dev/null
+++ b/src/main/java/maplerail/cli/Hangup.java
@@ -0,0 +1,32 @@
+package maplerail.cli;
+
+import java.lang.reflect.Proxy;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * SIGHUP. Guards against the machine's own way with it, which is to end the program. The class that tells of signals
+ * is in no standard package, so it is looked up: the program runs, without reloads, where it is missing.
+ */
+final class Hangup {
+    private static final Logger LOG = LoggerFactory.getLogger(Hangup.class);
+
+    private Hangup() { }
+
+    /** Runs a task, on a thread of its own, at each SIGHUP from now on. */
+    static void then(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object told = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("handle")) task.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), told);
+        } catch (ReflectiveOperationException e) {
+            LOG.warn("SIGHUP will not be heard", e);
+        }
+    }
+}
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -10,7 +10,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import maplerail.config.ConfigException;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
@@ -19,9 +21,12 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The command line. */
 public final class Main {
+    private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final int BUFFER = 1 << 16;
     private static final String USAGE = """
             usage: maplerail COMMAND [--config FILE] [--tools FILE]
@@ -90,11 +95,11 @@
     private static int configured(String command, String file, String toolsFile,
             Map<String, String> environment, PrintStream out, PrintStream errors) throws Exception {
         NodeConfig config;
-        ToolsConfig tools = null;
+        ToolsConfig tools;
         try {
             if (file == null) throw new ConfigException("RELAY_CONFIG: missing, and no --config");
             config = NodeConfig.read(read(file), environment);
-            if (toolsFile != null) tools = ToolsConfig.read(read(toolsFile));
+            tools = toolsFile == null ? null : ToolsConfig.read(read(toolsFile));
         } catch (ConfigException e) {
             errors.println("maplerail: " + e.getMessage());
             return 2;
@@ -104,6 +109,7 @@
             return 0;
         }
         Gateway gateway = new Gateway(config, tools);
+        Hangup.then(() -> reload(gateway, file, toolsFile, environment));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateway.drain();
             try {
@@ -116,6 +122,25 @@
         return -1;
     }
 
+    /** Reads both files again; one that can't be read is named with its key, and what was read before it stays. */
+    static synchronized void reload(Gateway gateway, String file, String toolsFile,
+            Map<String, String> environment) {
+        // The environment is as old as the process: after a new file it no longer comes first.
+        Map<String, String> left = new HashMap<>(environment);
+        left.remove("RELAY_DISCOVERY");
+        gateway.reload(again(() -> NodeConfig.read(read(file), left)),
+                toolsFile == null ? null : again(() -> ToolsConfig.read(read(toolsFile))));
+    }
+
+    private static <T> T again(Supplier<T> reading) {
+        try {
+            return reading.get();
+        } catch (RuntimeException e) {
+            LOG.warn("the new configuration is not used: {}", e.getMessage());
+            return null;
+        }
+    }
+
     private static String read(String file) {
         try {
             return Files.readString(Path.of(file));
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -29,6 +29,7 @@
     private final ToolsConfig config;
     private final XnioLoop loop;
     private final Pool pool;
+    private ConsulWatch watch;
     private final Map<String, Broker> brokers = new TreeMap<>();
     private final Map<String, ToolClient> clients = new TreeMap<>();
 
@@ -58,7 +59,13 @@
         if (config.consul() == null) return;
         Map<String, ToolsConfig.Service> asked = new HashMap<>(config.services());
         asked.values().removeIf(service -> !service.servers().isEmpty());
-        new ConsulWatch(pool, loop, config.consul(), asked.keySet(), this::hear).start();
+        watch = new ConsulWatch(pool, loop, config.consul(), asked.keySet(), this::hear);
+        watch.start();
+    }
+
+    /** Takes what may change while it runs from a new file: where Consul is. */
+    void reload(ToolsConfig news) {
+        if (watch != null && news.consul() != null) watch.move(news.consul());
     }
 
     private static EngineList listed(List<InetSocketAddress> servers) {
--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -24,7 +24,7 @@
 
     private final Pool pool;
     private final XnioLoop loop;
-    private final InetSocketAddress at;
+    private InetSocketAddress at;
     private final String path;
     private final Consumer<Tree> news;
     private long index;
@@ -38,6 +38,14 @@
         this.news = news;
     }
 
+    /** Asks another agent from now on, anew: its indexes are its own. */
+    void move(InetSocketAddress to) {
+        at = to;
+        index = 0;
+        againMs = FIRST_AGAIN_MS;
+        ask();
+    }
+
     void ask() {
         String target = path + (index == 0 ? "" : "?index=" + index + "&wait=" + WAIT_S + "s");
         Asked asked = new Asked();
@@ -55,8 +63,11 @@
     }
 
     private final class Asked extends TextReply {
+        private final InetSocketAddress asked = at;
+
         @Override
         protected boolean whole(int status, HeaderMap headers, String text) {
+            if (!asked.equals(at)) return true;
             try {
                 if (status != 200) throw new ConfigException("status " + status);
                 Tree answer = Tree.any(path, text);
@@ -71,14 +82,20 @@
             }
             againMs = FIRST_AGAIN_MS;
             if (index > 0) ask();
-            else loop.at(loop.nowMs() + FIRST_AGAIN_MS, BlockingQuery.this::ask);
+            else later(FIRST_AGAIN_MS);
             return true;
         }
 
         @Override
         protected void none() {
-            loop.at(loop.nowMs() + againMs, BlockingQuery.this::ask);
+            later(againMs);
             againMs = Math.min(MOST_AGAIN_MS, againMs * 2);
         }
+
+        private void later(double afterMs) {
+            loop.at(loop.nowMs() + afterMs, () -> {
+                if (asked.equals(at)) ask(); // else the other address has its own call out
+            });
+        }
     }
 }
--- a/src/main/java/maplerail/discovery/ConsulWatch.java
+++ b/src/main/java/maplerail/discovery/ConsulWatch.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.config.Address;
 import maplerail.config.EngineIds;
@@ -20,10 +21,11 @@
 public final class ConsulWatch {
     private final Pool pool;
     private final XnioLoop loop;
-    private final InetSocketAddress at;
+    private InetSocketAddress at;
     private final Set<String> wanted;
     private final BiConsumer<String, EngineList> news;
     private final Set<String> watched = new HashSet<>();
+    private final List<BlockingQuery> queries = new ArrayList<>();
     private long version;
 
     /** Makes a watch for some services, which tells the whole list of a service each time. */
@@ -38,16 +40,28 @@
 
     /** Watches the catalogue, and each wanted service from when it is first in there. */
     public void start() {
-        new BlockingQuery(pool, loop, at, "/v1/catalog/services", catalogue -> {
+        query("/v1/catalog/services", catalogue -> {
             for (String name : catalogue.keys()) {
                 if (wanted.contains(name) && watched.add(name)) watch(name);
             }
-        }).ask();
+        });
+    }
+
+    /** Asks another agent from now on; what is known stays known until it answers. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(at)) return;
+        at = to;
+        queries.forEach(query -> query.move(to));
+    }
+
+    private void query(String path, Consumer<Tree> told) {
+        BlockingQuery query = new BlockingQuery(pool, loop, at, path, told);
+        queries.add(query);
+        query.ask();
     }
 
     private void watch(String name) {
-        new BlockingQuery(pool, loop, at, "/v1/health/service/" + name,
-                answer -> news.accept(name, read(answer, ++version))).ask();
+        query("/v1/health/service/" + name, answer -> news.accept(name, read(answer, ++version)));
     }
 
     /** The servers in an answer of the health API; one with a critical check gets nothing new. */
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -23,13 +23,16 @@
     private static final long WAIT_MS = 5_000; // an answer that was lost is missed for no longer
     private static final double GRACE_MS = 1_000; // past its wait, after which a call is held to be lost
     private static final double AGAIN_MS = 50;
+    private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
     private final XnioLoop loop;
-    private final InetSocketAddress at;
+    private InetSocketAddress at;
     private final Names names;
     private final Consumer<EngineList> news;
     private long version = -1;
+    private long newest = -1; // of what was told at any address
+    private double doubtUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Makes a watch that tells each piece of news. */
     public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, Consumer<EngineList> news) {
@@ -46,7 +49,18 @@
         new Asked().start(Requests.to(at, Methods.GET, target));
     }
 
+    /** Asks at another address from now on. The call that is still out at the old one is heard to its end. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(at)) return;
+        at = to;
+        version = -1;
+        doubtUntilMs = loop.nowMs() + DOUBT_MS;
+        ask();
+    }
+
     private final class Asked extends TextReply {
+        private final InetSocketAddress asked = at;
+
         void start(ClientRequest request) {
             Call call = pool.start(at, request, new byte[0], this);
             // Guards against an agent that was cut off: its connection would stay open and silent.
@@ -61,18 +75,29 @@
                 list = EngineList.read(Tree.object("list", text), names);
             } catch (ConfigException e) {
                 LOG.warn("discovery: {}", e.getMessage());
-                version = -1;
+                if (asked.equals(at)) version = -1;
                 return false;
             }
-            version = list.version();
-            ask();
+            // Guards against a new agent that has yet to hear of what ours had told: engines that drain would be
+            // listed as ready once more.
+            boolean older = list.version() < newest && loop.nowMs() < doubtUntilMs;
+            if (asked.equals(at)) {
+                if (older) return false;
+                version = list.version();
+                ask();
+            }
+            if (older) return true;
+            newest = list.version();
             news.accept(list);
             return true;
         }
 
         @Override
         protected void none() {
-            loop.at(loop.nowMs() + AGAIN_MS, PlatformWatch.this::ask);
+            if (!asked.equals(at)) return; // the other address has its own call out
+            loop.at(loop.nowMs() + AGAIN_MS, () -> {
+                if (asked.equals(at)) ask();
+            });
         }
     }
 }
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -34,17 +35,20 @@
         return builder.redirectError(new File(folder.toFile(), "log")).start();
     }
 
-    /** The port that the program says it listens on; 0 before it does. */
-    private int port() {
+    private String log() {
         try {
-            String log = Files.readString(folder.resolve("log"));
-            Matcher said = Pattern.compile("listens on \\S*:(\\d+)\\s").matcher(log);
-            return said.find() ? Integer.parseInt(said.group(1)) : 0;
+            return Files.readString(folder.resolve("log"));
         } catch (IOException e) {
-            return 0;
+            return "";
         }
     }
 
+    /** The port that the program says it listens on; 0 before it does. */
+    private int port() {
+        Matcher said = Pattern.compile("listens on \\S*:(\\d+)\\s").matcher(log());
+        return said.find() ? Integer.parseInt(said.group(1)) : 0;
+    }
+
     private static String say(int port, String request) {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.getOutputStream().write(request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
@@ -88,6 +92,49 @@
         }
     }
 
+    /** The machine's own way with SIGHUP would end the program. */
+    @Test
+    void aHangupMovesTheWatchAndKeepsWhatIsOpen() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        StandIn.Handler begin = x -> {
+            x.stream();
+            x.chunk("data: 1\n\n");
+            streams.add(x);
+        };
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(begin); StandIn other = new StandIn(begin);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer);
+                World next = new World().engine("r", "prefill", reader).engine("w2", "decode", other)) {
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start("RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"), config.toString());
+            try {
+                await("listening", () -> port() > 0);
+                try (Socket client = new Socket("127.0.0.1", port())) {
+                    client.getOutputStream().write(World.request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+                    StandIn.Exchange stream = World.take(streams);
+                    for (String text : List.of("{", "{\"settings\":{}}", next.config("127.0.0.1:0"))) {
+                        Files.writeString(config, text);
+                        assertThat(new ProcessBuilder("kill", "-HUP", "" + gateway.pid()).start().waitFor()).isZero();
+                        if (text.startsWith("{\"s")) await("named", () -> log().contains("config.settings.lanes: missing"));
+                    }
+                    await("moved", () -> log().contains("discovery is at"));
+                    await("watched", () -> next.discovery().count("GET /api/targets?index=") > 0);
+                    stream.chunk("data: [DONE]\n\n");
+                    stream.last();
+                    client.getOutputStream().write(World.request("a2", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+                    await("the new list holds", () -> other.count("POST") == 1);
+                    gateway.destroy();
+                    stream = World.take(streams);
+                    stream.last();
+                    assertThat(World.readAll(client.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+                }
+                await("ended", () -> !gateway.isAlive());
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
         Process adapter = start(line("sim"), null);
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -50,6 +50,10 @@
         return this;
     }
 
+    public StandIn discovery() {
+        return discovery;
+    }
+
     public World sockets(int most) {
         sockets = most;
         return this;
