--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -48,6 +48,8 @@
     /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
     private static final int CLIENT_PERCENT = 45;
     private static final int RPC_PERCENT = 10;
+    private static final int TOOLS_PERCENT = 10; // connections to tool servers
+    private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
 
     private final NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
@@ -74,15 +76,18 @@
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.TCP_NODELAY, true)
                 .set(Options.THREAD_DAEMON, false).getMap());
         loop = new XnioLoop(worker.getIoThread());
-        Pool pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs());
+        boolean on = toolsConfig != null;
+        int sockets = config.wire().sockets();
+        int tooling = on ? sockets * (RPC_PERCENT + TOOLS_PERCENT) / 100 : 0;
+        Pool pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(),
+                sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         broker = new Broker(new Logic(settings), settings, new Admit(Budgets.open(config.wire().maxOpen()), loop), loop,
                 engines, line -> LOG.info("{}", line));
         front = new PlatformFront(broker, config.names(), lifecycle);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(), this::hear);
-        boolean on = toolsConfig != null;
-        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed()) : null;
+        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle) : null;
         rpcListen = on ? toolsConfig.listen() : null;
     }
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -33,10 +33,11 @@
     private final Map<String, Broker> brokers = new TreeMap<>();
     private final Map<String, ToolClient> clients = new TreeMap<>();
 
-    ToolServices(ToolsConfig config, XnioLoop loop, io.undertow.connector.ByteBufferPool buffers, long seed) {
+    ToolServices(ToolsConfig config, XnioLoop loop, io.undertow.connector.ByteBufferPool buffers, long seed,
+            int mostConnections) {
         this.config = config;
         this.loop = loop;
-        this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS);
+        this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         Router.Settings settings = config.settings(seed);
         Admit admit = new Admit(config.budgets(MOST_OPEN), loop);
         for (String name : config.services().keySet()) {
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -51,7 +51,7 @@
         }
         double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
         request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
-        if (cargo.body().length > 0) request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
         Call call = pool.start(to, request, cargo.body(), new Incoming(answer));
         return new Sent(call);
     }
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PlatformTest {
     @Test
@@ -145,6 +146,36 @@
         }
     }
 
+    /** The connection stays open, but nothing on it can be believed any more. */
+    @ParameterizedTest
+    @ValueSource(strings = {"zz\r\n", "\r\n", "3\r\ndata: 2\n\n\r\n", "c0000000\r\ndata", "99\r\ndata: 2\n\n\r\n0\r\n\r\n"})
+    void aSpoiltStreamIsNeverWhole(String spoilt) throws Exception {
+        StandIn.Handler handler = x -> {
+            x.stream();
+            x.chunk("data: 1\n\n");
+            x.write(spoilt);
+            x.awaitEnd();
+        };
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(handler);
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
+            String answer = world.exchange(request("a1", "lookup", "5.0"));
+            assertThat(answer).endsWith("data: 1\n\n\r\n").doesNotContain("data: 2").doesNotContain("\r\n0\r\n");
+            await("the spoilt connection ended", () -> writer.ended() == 1);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"noise\n", "HTTP/1.1 200 OK\r\nno header\r\n\r\n", "HTTP/1.1 200 OK\r\nA: "})
+    void aHeadThatCannotBeReadIsAnAttemptThatMayHaveRun(String head) throws Exception {
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.write(head);
+            x.awaitEnd();
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
+            assertThat(world.exchange(request("a1", "repair-order", "15.0"))).startsWith("HTTP/1.1 502");
+            assertThat(writer.count("POST")).isEqualTo(1);
+        }
+    }
+
     @Test
     void aStreamWithoutAnEndOfItsOwnIsNotWhole() throws Exception {
         StandIn.Handler handler = x -> {
