Calls wait for connections in turn; the gateway starts from a record of its classes

Lines at fault: Pool.start failed a call outright where 24 connects to its reader were under way, and connect alarms ran ahead of connects that had come up.

--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -34,6 +34,7 @@
                              --tools switches the JSON-RPC front on, set up in that file
               check-config   read a configuration and say what is wrong with it
               adapter        decide on the simulator's wire, on standard input and output
+              rehearse       start, ask itself a few things and stop; the build records its classes
               version        print the version
               help           print this
             """;
@@ -76,6 +77,10 @@
                 return Adapter.run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), BUFFER),
                         new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), BUFFER), errors);
             }
+            case "rehearse" -> {
+                Rehearsal.run();
+                return 0;
+            }
             case "version" -> {
                 String version = Main.class.getPackage().getImplementationVersion();
                 out.println("maplerail " + (version == null ? "unpackaged" : version));
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -77,6 +77,7 @@
 
     /** While it has no connection: when to give up waiting for one, and how. */
     void connecting(Loop.Alarm alarm, Runnable cancel) {
+        calm();
         limit = alarm;
         disconnect = cancel;
     }
@@ -159,6 +160,11 @@
         reply.end();
     }
 
+    /** It has waited for a connection for as long as it may. */
+    void failUnconnected() {
+        if (link == null) fail();
+    }
+
     /** Never heard before the call has been handed out. */
     void fail() {
         if (done || failing) return;
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.xnio.IoFuture;
@@ -31,6 +32,7 @@
     private final int most;
     private final Map<InetSocketAddress, ArrayDeque<Link>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> connecting = new HashMap<>();
+    private final Map<InetSocketAddress, ArrayDeque<Call>> queued = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
     private int connectingInAll;
     private boolean sweeping;
@@ -47,15 +49,40 @@
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
         Call call = new Call(this, request, body, reply);
+        if (!begin(to, call)) {
+            queued.computeIfAbsent(to, t -> new ArrayDeque<>()).addLast(call);
+            call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
+        }
+        return call;
+    }
+
+    private boolean begin(InetSocketAddress to, Call call) {
         Link ready = fresh(to);
         if (ready != null) {
             call.on(ready);
         } else if (connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room()) {
-            call.fail();
+            return false;
         } else {
             connect(to, call);
         }
-        return call;
+        return true;
+    }
+
+    /**
+     * Guards against a crowd that comes at once, as after a restart: told at once that it cannot connect, each of
+     * its requests would use up its attempts on engines that only wait for their connections to come up.
+     */
+    private void next(InetSocketAddress to) {
+        ArrayDeque<Call> waiting = queued.get(to);
+        if (waiting == null) return;
+        waiting.removeIf(Call::done);
+        while (!waiting.isEmpty() && begin(to, waiting.peekFirst())) waiting.pollFirst();
+        if (waiting.isEmpty()) queued.remove(to);
+    }
+
+    /** Guards against a loop that is behind: what has come up by now is seen first. */
+    private void later(Call call) {
+        loop.execute(() -> loop.execute(call::failUnconnected));
     }
 
     /** The last one used that has been quiet since; a second answer right behind the first must not meet a request. */
@@ -88,7 +115,7 @@
         connectingInAll++;
         IoFuture<StreamConnection> coming = loop.thread().openStreamConnection(to, null, OPTIONS);
         // Called off, it is closed: one that never comes up would hold a descriptor for minutes.
-        call.connecting(loop.at(loop.nowMs() + connectMs, call::fail), coming::cancel);
+        call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), coming::cancel);
         coming.addNotifier((future, none) -> loop.execute(() -> connected(to, call, future)), null);
     }
 
@@ -100,18 +127,24 @@
             connection = future.get();
         } catch (IOException | RuntimeException e) {
             call.fail(); // refused, or called off: then it is done already
+            next(to);
             return;
         }
         Link link = new Link(to, connection);
         links.add(link);
-        connection.getCloseSetter().set(closed -> links.remove(link));
+        connection.getCloseSetter().set(closed -> {
+            links.remove(link);
+            if (!queued.isEmpty()) loop.execute(() -> List.copyOf(queued.keySet()).forEach(this::next));
+        });
         if (call.done()) keep(link);
         else call.on(link);
+        next(to);
     }
 
     void keep(Link link) {
         link.idle(loop.nowMs());
         idle.computeIfAbsent(link.to, t -> new ArrayDeque<>()).addLast(link);
+        if (queued.containsKey(link.to)) loop.at(loop.nowMs() + SETTLE_MS, () -> next(link.to));
         if (!sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
         sweeping = true;
     }
@@ -126,6 +159,7 @@
             });
         }
         idle.values().removeIf(ArrayDeque::isEmpty);
+        List.copyOf(queued.keySet()).forEach(this::next);
         sweeping = !idle.isEmpty();
         if (sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
     }
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -144,6 +144,13 @@
         assertThat(adapter.waitFor()).isZero();
     }
 
+    @Test
+    void theBuildRecordsTheClassesFromWhichTheProgramStarts() throws Exception {
+        Process version = start(line("run").replaceFirst("-XX:SharedArchiveFile", "-Xshare:on $0").replace("-Xshare:auto", "")
+                .replaceFirst("serve$", "version"), null);
+        assertThat(version.waitFor()).isZero();
+    }
+
     @Test
     void badConfigurationEndsItWith2() throws Exception {
         Path config = folder.resolve("config.json");
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -153,6 +153,20 @@
         }
     }
 
+    /** A crowd that comes at once waits for connections rather than failing on its own number. */
+    @Test
+    void moreCallsThanMayConnectWaitForTheirTurn() throws Exception {
+        try (StandIn server = new StandIn(x -> x.reply(200, ""))) {
+            Pool pool = pool(30_000);
+            loop.execute(() -> {
+                for (int i = 0; i < 100; i++) {
+                    pool.start(server.socketAddress(), request(server.socketAddress()), new byte[2], new Heard(heard));
+                }
+            });
+            for (int i = 0; i < 100; i++) assertThat(take(heard)).isEqualTo("end");
+        }
+    }
+
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
         StandIn gone = new StandIn(x -> { });
