A stream without an event for 3 s is broken off, so that its client can ask for the rest

Cause: after the first event Send.heard cancelled the attempt's time-out and nothing watched the stream any more; a machine that is cut off ends nothing. Excluded: the client's side (its connection was open and taken). Clients here ask for the remainder (familyInfo.resume), so an early cut costs a re-read, a late one the request. Now Send watches the winner's events, not while its caller asked for a pause.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -30,7 +30,7 @@
         this.admit = admit;
         book = new Book(engines, loop, admit, settings.rules().pinLimitMs());
         takeIn = new TakeIn(loop, book);
-        relay = new Relay(book);
+        relay = new Relay(book, loop);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
         route = new Route(router, loop, this::perform, send::settle, log);
         send.use(route);
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -46,6 +46,9 @@
         final double sentMs;
         Engines.Sending sending;
         Loop.Alarm timeout;
+        /** When the last event came, and whether its caller asked for a pause. */
+        double heardMs;
+        boolean paused;
         boolean ended;
 
         Try(Entry entry, long engine, boolean reader, double sentMs) {
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -5,18 +5,25 @@
 /** Fifth stage: passes the events of the one attempt that became the caller's, as they come. */
 final class Relay {
     private final Book book;
+    private final Loop loop;
 
-    Relay(Book book) {
+    Relay(Book book, Loop loop) {
         this.book = book;
+        this.loop = loop;
     }
 
     void event(Entry.Try attempt, byte[] event) {
         if (attempt.entry.answered) return;
-        if (!attempt.entry.caller.event(event)) attempt.sending.pause();
+        if (attempt.entry.caller.event(event)) return;
+        attempt.paused = true;
+        attempt.sending.pause();
     }
 
     void writable(Entry entry) {
-        if (entry.winner != null && !entry.winner.ended) entry.winner.sending.resume();
+        if (entry.winner == null || entry.winner.ended) return;
+        entry.winner.paused = false;
+        entry.winner.heardMs = loop.nowMs();
+        entry.winner.sending.resume();
     }
 
     /** Only a stream that came to its end is whole; any other must not look so. */
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -7,6 +7,7 @@
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class Send {
+    private static final double STALL_MS = 3_000; // without an event, after which a stream has stopped
     private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
 
     private final Engines engines;
@@ -58,9 +59,11 @@
 
     private void heard(Entry.Try attempt, byte[] event) {
         Entry entry = attempt.entry;
+        attempt.heardMs = loop.nowMs();
         if (entry.winner == null && !entry.answered) {
             entry.winner = attempt;
             attempt.timeout.cancel();
+            watch(attempt, STALL_MS);
             entry.guard.cancel();
             entry.mayHold.clear();
             entry.holds.clear();
@@ -71,6 +74,18 @@
         else cut(attempt, Outcome.CANCELLED);
     }
 
+    /**
+     * Guards against an engine that falls silent in the middle of a stream: its connection stays open, no deadline
+     * runs any more, and the client would wait for good instead of asking for the rest elsewhere.
+     */
+    private void watch(Entry.Try attempt, double afterMs) {
+        attempt.timeout = loop.at(loop.nowMs() + afterMs, () -> {
+            double quietMs = attempt.paused ? 0 : loop.nowMs() - attempt.heardMs;
+            if (quietMs >= STALL_MS) cut(attempt, Outcome.RESET);
+            else if (!attempt.ended) watch(attempt, STALL_MS - quietMs);
+        });
+    }
+
     /** Calls an attempt off, unless its stream is the caller's already. */
     void cancel(Router.Cancel order) {
         Entry entry = book.find(order.id());
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -230,11 +230,31 @@
     @Test
     void theDeadlineStopsAtTheFirstEvent() {
         take("a", send(WRITER));
-        out.get(0).answer.event(new byte[1]);
-        loop.until(60_000);
+        for (int second = 2; second <= 60; second += 2) {
+            out.get(0).answer.event(new byte[1]);
+            loop.until(second * 1_000);
+        }
         assertThat(out.get(0).aborted).isFalse();
         out.get(0).answer.ended(Outcome.RESET, 0);
+        assertThat(caller).startsWith("event").endsWith("broken");
+    }
+
+    /** An engine that falls silent ends nothing: without a watch its client would wait for good. */
+    @Test
+    void aStreamThatStopsIsBrokenOffButNotWhileItsCallerIsSlow() {
+        Ticket ticket = take("a", send(WRITER));
+        ready = false;
+        out.get(0).answer.event(new byte[1]);
+        loop.until(30_000);
+        assertThat(caller).containsExactly("event");
+        ticket.writable();
+        loop.until(32_900);
+        assertThat(caller).containsExactly("event");
+        loop.until(33_100);
         assertThat(caller).containsExactly("event", "broken");
+        assertThat(out.get(0).aborted).isTrue();
+        assertThat(outcomes()).containsExactly(Outcome.RESET);
+        assertThat(broker.remembered()).isZero();
     }
 
     @Test
