A read that a later one overtook is lost, not a queue; states of cut reads are let go for longer

Admission then refused half of all arrivals: oldestMs in Logic.overloaded took the one lost read for a queue (own=5869 of a limit of 2128, out=1, others 30 ms). Logic.overdue excused it once, and gave it up for good when the retry ration was empty. Now a read is lost once a later one was answered by its reader: it shuts nothing and is tried elsewhere without the ration; an empty ration is looked at again. After a cut the release is repeated until 1.6 s.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -111,6 +111,8 @@
         /** Share of outcomes that failed. */
         final Evidence failures = new Evidence();
         double heardMs, fullUntil;
+        /** When the last of those that were answered was sent: what was sent before has been overtaken. */
+        double answeredSentMs = Double.NEGATIVE_INFINITY;
         /** Outlier detection: closed, or ejected until a time and then half-open. */
         boolean ejected;
         double ejectedUntil;
@@ -130,6 +132,9 @@
         double cost, uncached, matched;
         boolean ended, cancelled, begun, excused;
 
+        /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
+        boolean overtaken() { return engine.role == Role.READ && sentMs < engine.answeredSentMs; }
+
         Attempt(Request request, Engine engine, boolean read, double sentMs) {
             this.request = request;
             this.number = request.attempts.size();
@@ -586,6 +591,7 @@
     private void observePace(Attempt attempt, double spentMs) {
         if (!(spentMs > 0 && spentMs < SANE) || !(attempt.cost > 0)) return;
         Engine engine = attempt.engine;
+        engine.answeredSentMs = Math.max(engine.answeredSentMs, attempt.sentMs);
         if (attempt.read) {
             calmPace = Math.min(spentMs / attempt.cost, calmPace * CALM_DRIFT);
             reads.add(Math.min(spentMs - calmPace * attempt.cost, attempt.request.kind.aimMs()));
@@ -764,18 +770,24 @@
     private void overdue(Request request, int number) {
         Attempt attempt = number < request.attempts.size() ? request.attempts.get(number) : null;
         if (attempt == null || attempt.ended || attempt.cancelled || request.phase == Phase.DONE
-                || request.phase == Phase.STREAMING || retryTokens < 1
+                || request.phase == Phase.STREAMING
                 || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
             return;
         }
+        // Retries are rationed against storms, but an answer that is lost comes from no lack of capacity.
+        boolean lost = attempt.overtaken();
+        if (retryTokens < 1 && !lost) {
+            setTimer(request.asked.id(), number, Alarm.OVERDUE, now + patience(attempt));
+            return;
+        }
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
         // A mixed engine that reads may have begun to answer: calling it off could only lose the answer.
         if (unsafe && attempt.read && attempt == request.mayHaveRun) return;
         // Where the whole role is behind, a copy only adds to it.
         double behind = pooled(attempt.read ? reads : firstTokens);
-        if (unmet(attempt.engine) && behind > BEHIND * request.kind.aimMs()) return;
+        if (!lost && unmet(attempt.engine) && behind > BEHIND * request.kind.aimMs()) return;
         boolean silent = attempt.engine.heardMs < attempt.sentMs;
-        if (!silent && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
+        if (!silent && !lost && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
             // Others were answered: a queue, or an answer that was lost. The second time it counts as lost.
             attempt.excused = true;
             setTimer(request.asked.id(), number, Alarm.OVERDUE, 2 * now - attempt.sentMs);
@@ -783,7 +795,7 @@
         }
         // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
         if (silent && now - attempt.engine.heardMs > request.kind.aimMs()) bad(attempt.engine, attempt);
-        retryTokens--;
+        retryTokens = Math.max(0, retryTokens - 1);
         // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
         if (attempt.read && settings.limits().secondCopies() && !unsafe) read(request, attempt.engine);
         else cancel(attempt);
@@ -900,8 +912,9 @@
         return Math.max(oldestMs(engine), waitMs(engine) * Math.exp((engine.heardMs - now) / POOL_MS));
     }
 
+    /** Guards against a lost answer that would pass for a queue and shut admission for a deadline. */
     private double oldestMs(Engine engine) {
-        return engine.out.stream().filter(a -> !a.begun && !a.cancelled).findFirst()
+        return engine.out.stream().filter(a -> !a.begun && !a.cancelled && !a.overtaken()).findFirst()
                 .map(a -> now - a.sentMs).orElse(0.0);
     }
 
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -6,7 +6,8 @@
 
 /** Last stage: the books. One final answer for each request, and nothing left held for it anywhere. */
 final class Book {
-    private static final double AGAIN_MS = 120; // after which an engine has surely seen a connection end
+    /** After a cut, when what a reader finished all the same is let go: soon, and within the limit of any later end. */
+    private static final double[] AGAIN_MS = {120, 400, 750, 1_100, 1_600};
     private static final double JUST_CUT_MS = 150;
 
     private final Engines engines;
@@ -67,13 +68,14 @@
     private void letGo(Entry entry, long engine) {
         entry.mayHold.remove(engine);
         entry.holds.remove(engine);
-        double until = loop.nowMs() + pinLimitMs;
-        engines.release(engine, entry.ask.id(), until);
-        // Guards against a release that overtakes the end of a connection: the engine would pass it over.
-        if (loop.nowMs() - entry.lastCutMs < JUST_CUT_MS) {
-            loop.at(loop.nowMs() + AGAIN_MS, () -> {
+        engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
+        // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
+        // though nobody waits: the state that it leaves then is held like any other.
+        if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
+        for (double afterMs : AGAIN_MS) {
+            loop.at(loop.nowMs() + afterMs, () -> {
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
-                if (entry.answered || !inUse) engines.release(engine, entry.ask.id(), until);
+                if (entry.answered || !inUse) engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
             });
         }
     }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -585,10 +585,15 @@
             node.arrive(id, id, 0, 1_000, 5_000);
             node.serve(id);
         }
-        node.until(node.now + 850);
+        // What the reader took later is answered: there is nothing to wait for a second time.
+        node.until(node.now + 450);
         List<Send> sends = node.sends().stream().filter(s -> s.id() == 21).toList();
         assertEquals(2, sends.size());
         assertNotEquals(lost, sends.get(1).engine());
+        // Nor is its age a queue: whoever returns to that reader is not refused for it.
+        node.now += 3_000;
+        node.arrive(41, 21, 0, 1_000, 5_000);
+        assertTrue(node.sends().stream().anyMatch(s -> s.id() == 41));
     }
 
     /** Found on ageing days at full size: a node meets each writer once a minute, so only all together tell a jam. */
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -273,15 +273,19 @@
         assertThat(broker.remembered()).isZero();
     }
 
-    /** A read that was cut off may have ended just then, and its state would stay pinned. */
+    /** A read that was cut off may have ended just then, or end later all the same: its state would stay pinned. */
     @Test
-    void aReadThatWasCutOffIsLetGoTwice() {
+    void aReadThatWasCutOffIsLetGoAgainAndAgain() {
         take("a", send(READER));
         act(new Cancel(1, 0));
         assertThat(outcomes()).containsExactly(Outcome.CANCELLED);
         assertThat(released).containsExactly("1/a");
-        loop.until(1_400);
+        loop.until(1_399);
         assertThat(released).as("the engine may see the release before the end").containsExactly("1/a", "1/a");
+        loop.until(3_000);
+        assertThat(released).as("the reader may go on reading").hasSize(6);
+        loop.until(60_000);
+        assertThat(released).hasSize(6);
     }
 
     @Test
