A request that an engine calls wrong is answered 400 at once and held against no engine

Cause: Outcomes.of made a 4xx an ERROR, which the module retries to the last attempt and counts against each engine. Now a 4xx that blames the request (not 408, 410, 429) ends it: one attempt, 400, states let go.

--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -30,6 +30,9 @@
         /** A piece of a streaming answer. */
         void event(byte[] event);
 
+        /** The end: the engine says that the request itself is wrong. Another would say so too. */
+        void unfit();
+
         /** The end; {@code kept} is the part of the prompt that needed no reading. */
         void ended(Router.Outcome outcome, double kept);
     }
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -50,6 +50,11 @@
                 if (!attempt.ended) heard(attempt, event);
             }
 
+            @Override
+            public void unfit() {
+                if (!attempt.ended) reject(attempt);
+            }
+
             @Override
             public void ended(Outcome outcome, double kept) {
                 Send.this.ended(attempt, outcome, kept);
@@ -86,6 +91,20 @@
         });
     }
 
+    /**
+     * Guards against a request that no engine can use: sent to one after another it would use up all its attempts,
+     * and the module would hold each of them to be failing.
+     */
+    private void reject(Entry.Try attempt) {
+        Entry entry = attempt.entry;
+        boolean last = book.answer(entry);
+        ended(attempt, Outcome.CANCELLED, 0);
+        if (!last) return;
+        cutAll(entry);
+        route.tell(new Router.Abandoned(entry.number));
+        entry.caller.fail(Caller.Why.INVALID);
+    }
+
     /** Calls an attempt off, unless its stream is the caller's already. */
     void cancel(Router.Cancel order) {
         Entry entry = book.find(order.id());
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -63,6 +63,7 @@
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
         private Outcome meaning;
         private boolean framed;
+        private boolean unfit;
 
         Incoming(Answer answer) {
             this.answer = answer;
@@ -71,6 +72,7 @@
         @Override
         public void head(int status, HeaderMap headers) {
             meaning = Outcomes.of(status, headers);
+            unfit = Outcomes.unfit(status);
             // Without framing the end of the connection is no sign of a whole answer.
             framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
         }
@@ -86,6 +88,10 @@
 
         @Override
         public void end() {
+            if (unfit) {
+                answer.unfit();
+                return;
+            }
             if (meaning == Outcome.SERVED && framed && events.rest().length > 0) answer.event(events.rest());
             answer.ended(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning, kept());
         }
--- a/src/main/java/maplerail/net/Outcomes.java
+++ b/src/main/java/maplerail/net/Outcomes.java
@@ -21,6 +21,11 @@
         };
     }
 
+    /** True if the status blames the request and not the engine, nor what was asked of it before. */
+    static boolean unfit(int status) {
+        return status >= 400 && status < 500 && status != 408 && status != 410 && status != 429;
+    }
+
     /** What a call without a whole answer says; a head that proves that it never ran holds all the same. */
     static Outcome broken(Outcome head, boolean neverSent) {
         if (head != null && head != Outcome.READ && head.neverRan) return head;
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -176,6 +176,26 @@
         }
     }
 
+    /** Engines that turn one client's nonsense away are not failing, and need not all be asked. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 404, 422})
+    void whatAnEngineCannotUseIsTheClientsFault(int status) throws Exception {
+        StandIn.Handler picky = x -> {
+            if (x.method.equals("POST") && x.headers.get("req-id").startsWith("bad")) x.reply(status, "");
+            else x.reply(202, "{}");
+        };
+        try (StandIn reader = new StandIn(picky); StandIn other = new StandIn(picky); StandIn writer = World.writer();
+                World world = new World().engine("r1", "prefill", reader).engine("r2", "prefill", other)
+                        .engine("w", "decode", writer).start()) {
+            for (int i = 1; i <= 10; i++) {
+                assertThat(world.exchange(request("bad" + i, "lookup", "5.0"))).startsWith("HTTP/1.1 400");
+                assertThat(reader.count("POST") + other.count("POST")).isEqualTo(i);
+            }
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+            await("nothing remembered", () -> world.gateway.remembered() == 0);
+        }
+    }
+
     @Test
     void aStreamWithoutAnEndOfItsOwnIsNotWhole() throws Exception {
         StandIn.Handler handler = x -> {
