A loop that is behind takes nothing new; clients may hold 55% of the descriptors

The crowd that meets the one gateway that is left, or has just started, was taken in faster than it could be handled, so timers and releases ran late. Excluded: engines (no error, reads fast once sent). Now Admit watches how late its timers run and refuses at once, with Retry-After, while that is 150 ms or more; the door ends idle connections sooner when nobody new could get in.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -46,7 +46,7 @@
     private static final int BUFFER = 8 * 1024;
     private static final int MOST_HEAD = 16 * 1024; // bytes of a request's head
     /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
-    private static final int CLIENT_PERCENT = 45;
+    private static final int CLIENT_PERCENT = 55;
     private static final int RPC_PERCENT = 10;
     private static final int TOOLS_PERCENT = 10; // connections to tool servers
     private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
--- a/src/main/java/maplerail/core/Admit.java
+++ b/src/main/java/maplerail/core/Admit.java
@@ -11,11 +11,16 @@
 public final class Admit {
     private static final double BURST_MS = 1_000; // of its rate that a team may use at once
     private static final double BUSY_MS = 100; // advice where calls in flight are the limit
+    private static final double LOOK_MS = 20; // between two looks at how far the loop is behind
+    private static final double BEHIND_MS = 150; // from which it takes nothing new
+    private static final double CATCH_UP_MS = 500; // advice then
 
     private final Budgets budgets;
     private final Loop loop;
     private final Map<Integer, Account> accounts = new HashMap<>();
     private int open;
+    private boolean looking;
+    private double behindMs;
 
     private static final class Account {
         double tokens;
@@ -37,15 +42,29 @@
         if (ask.kind() < budgets.contracts().size() && ask.size() > budgets.contracts().get(ask.kind()).maxBytes()) {
             return new Denied(Why.INVALID, 0);
         }
+        if (behindMs >= BEHIND_MS) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
         if (open >= budgets.maxOpen()) return new Denied(Why.OVERLOAD, BUSY_MS);
         if (ask.tenant() < budgets.teams().size()) {
             Denied denied = charge(budgets.teams().get(ask.tenant()), accountOf(ask.tenant()));
             if (denied != null) return denied;
         }
         open++;
+        if (!looking) look(0);
         return null;
     }
 
+    /**
+     * Watches how late timers run. Guards against a crowd that a program just started can't keep up with: what it
+     * took on top would wait past its deadline, and states that engines hold would be let go too late.
+     */
+    private void look(double late) {
+        behindMs = late;
+        looking = open > 0;
+        double due = loop.nowMs() + LOOK_MS;
+        if (looking) loop.at(due, () -> look(loop.nowMs() - due));
+        else behindMs = 0;
+    }
+
     private Denied charge(Budgets.Budget budget, Account account) {
         if (account.inFlight >= budget.inFlight()) return new Denied(Why.BUDGET, BUSY_MS);
         double burst = Math.max(1, budget.perSecond() * BURST_MS / 1_000);
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/Door.java
@@ -35,6 +35,7 @@
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
             + "Connection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
+    private static final int FULL_PART = 32; // with fewer left nobody new gets in: any idle one may have to go
 
     private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT }
 
@@ -137,7 +138,7 @@
             if (late) ended.add(connection);
         });
         ended.forEach(this::turnOut);
-        end(State.IDLE, IDLE_MS, now);
+        end(State.IDLE, guests.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
         end(State.SILENT, SILENT_MS, now);
         looking = !guests.isEmpty();
         if (looking) loop.at(now + LOOK_MS, this::look);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -273,6 +273,20 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** After a start a crowd may come faster than half a core can take it in. */
+    @Test
+    void aLoopThatIsBehindTakesNothingNewUntilItHasCaughtUp() {
+        take("a", send(WRITER));
+        loop.now += 1_000;
+        loop.until(loop.now);
+        take("b");
+        assertThat(caller).containsExactly("refuse OVERLOAD 500");
+        loop.until(loop.now + 50);
+        take("c", send(WRITER));
+        assertThat(caller).containsExactly("refuse OVERLOAD 500");
+        assertThat(out).hasSize(2);
+    }
+
     /** A read that was cut off may have ended just then, or end later all the same: its state would stay pinned. */
     @Test
     void aReadThatWasCutOffIsLetGoAgainAndAgain() {
