--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -133,10 +133,17 @@
 
         void attempt() {
             call = pool.start(to, Requests.to(to, Methods.DELETE, target), new byte[0], this);
-            silence = loop.at(loop.nowMs() + SILENT_MS, () -> {
-                call.abort();
-                again(0);
-            });
+            silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
+        }
+
+        private void silent() {
+            // One that still waits for a connection keeps its place; the pool says so when it has none in time.
+            if (call.unsent()) {
+                silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
+                return;
+            }
+            call.abort();
+            again(0);
         }
 
         private void again(double afterMs) {
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -2,6 +2,7 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -50,7 +51,10 @@
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
         Call call = new Call(this, request, body, reply);
         if (!begin(to, call)) {
-            queued.computeIfAbsent(to, t -> new ArrayDeque<>()).addLast(call);
+            ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
+            // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
+            if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
+            else waiting.addLast(call);
             call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
         }
         return call;
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -153,6 +154,25 @@
         }
     }
 
+    /** Or what it lets go would count as pinned by the time that a crowd of reads has been served. */
+    @Test
+    void aReleaseGoesBeforeTheCallsThatWait() throws Exception {
+        BlockingQueue<String> arrived = World.queue();
+        try (StandIn server = new StandIn(x -> {
+            arrived.add(x.method);
+            x.reply(200, "");
+        })) {
+            Pool pool = pool(30_000);
+            InetSocketAddress to = server.socketAddress();
+            loop.execute(() -> {
+                for (int i = 0; i < 60; i++) pool.start(to, request(to), new byte[2], new Heard(heard));
+                pool.start(to, Requests.to(to, Methods.DELETE, "/"), new byte[0], new Heard(heard));
+            });
+            for (int i = 0; i < 61; i++) assertThat(take(heard)).isEqualTo("end");
+            assertThat(List.copyOf(arrived).indexOf("DELETE")).isBetween(0, 50);
+        }
+    }
+
     /** A crowd that comes at once waits for connections rather than failing on its own number. */
     @Test
     void moreCallsThanMayConnectWaitForTheirTurn() throws Exception {
