A state is let go only after the ends of the attempts that wait for it

Cause: Broker.leave told the module of the abandoned request before it cut the attempts, Book.release passed answered requests with attempts out, and letGo says a release again only after a cut it knows of. The engine takes a release for a state that a write still waits for as nothing to do; the write's end then leaves the state held. Now attempts end first, and a release waits for the last of them. New test fails without it.

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -57,9 +57,13 @@
         return true;
     }
 
-    /** Lets go of what may be held; what an attempt still waits for stays. */
+    /**
+     * Lets go of what may be held, unless an attempt may still wait for it. Guards against a release that comes before
+     * the end of a write's connection: the state is waited for then, so the release passes it over, and nobody says
+     * it again. The end of the last attempt does.
+     */
     void release(Entry entry) {
-        if (entry.anyOut() && !entry.answered) return;
+        if (entry.anyOut()) return;
         for (long engine : List.copyOf(entry.mayHold)) {
             if (!entry.outAt(engine)) letGo(entry, engine);
         }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -114,8 +114,8 @@
     }
 
     private void leave(Entry entry) {
-        route.tell(new Router.Abandoned(entry.number));
         send.cutAll(entry);
+        route.tell(new Router.Abandoned(entry.number));
         book.settle(entry);
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -27,6 +27,7 @@
     private final List<Router.Action> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
+    private final List<String> wire = new ArrayList<>();
     private final List<String> caller = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
@@ -78,6 +79,7 @@
         @Override
         public void abort() {
             aborted = true;
+            wire.add("cut");
         }
 
         @Override
@@ -113,6 +115,7 @@
             @Override
             public void release(long engine, String id, double untilMs) {
                 released.add(engine + "/" + id);
+                wire.add("release");
             }
         };
         broker = new Broker(router, settings, new Admit(Budgets.open(3), loop), loop, engines, line -> { });
@@ -273,6 +276,19 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** Seen at the sockets: a release that overtook the end of a write left the state, which was waited for, pinned. */
+    @Test
+    void whatAWriteWaitsForIsLetGoOnceItsConnectionHasEnded() {
+        Ticket ticket = take("a", send(READER));
+        next.add(send(WRITER));
+        out.get(0).answer.ended(Outcome.READ, 0);
+        next.add(new Release(1));
+        ticket.gone();
+        assertThat(wire).containsExactly("cut", "release");
+        loop.until(1_399);
+        assertThat(wire).as("the end may still be on its way").containsExactly("cut", "release", "release");
+    }
+
     /** After a start a crowd may come faster than half a core can take it in. */
     @Test
     void aLoopThatIsBehindTakesNothingNewUntilItHasCaughtUp() {
