A crowd comes in a few at a time; a late loop blames no connect; unsafe work fails at once

Cause: the accept listener takes the whole queue before the loop does anything else (XNIO's acceptTask runs again while it has some left); Admit learnt of a late loop from timers only, which come after the batch; Pool held a limit met late for the engine's fault; Logic.onFailure waited where repeatAllowed can never be true; Logic.admits tried ejected writers with any class. Also tried: leaving overdue unsafe work out instead of calling it off. Tests fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -676,9 +676,12 @@
     }
 
     /** Full: not now. Closed: yes. Ejected: no. Half-open: as many out as its good trials allow. */
-    private boolean admits(Engine engine) {
-        return now >= engine.fullUntil && (!engine.ejected
-                || now >= engine.ejectedUntil && engine.out.size() < 1 << engine.goodTrials);
+    private boolean admits(Engine engine, Request request) {
+        if (now < engine.fullUntil || !engine.ejected) return now >= engine.fullUntil;
+        // Guards against a trial with work that could not be sent again; where no other comes, it has to do.
+        boolean costly = request.kind.repeat() == Repeat.UNSAFE && engine.role != Role.READ;
+        return now >= engine.ejectedUntil + (costly ? EJECT_MAX_MS : 0)
+                && engine.out.size() < 1 << engine.goodTrials;
     }
 
     // ---- Guards: every send passes here ----
@@ -688,7 +691,7 @@
         List<Engine> open = engines.values().stream()
                 .filter(e -> e.ready && role.test(e) && coldRoom(e) && repeatAllowed(request, e)).toList();
         List<Engine> others = open.stream().filter(e -> e != not).toList();
-        List<Engine> healthy = others.stream().filter(this::admits).toList();
+        List<Engine> healthy = others.stream().filter(e -> admits(e, request)).toList();
         return !healthy.isEmpty() ? healthy : others.isEmpty() ? open : others;
     }
 
@@ -716,12 +719,18 @@
         return true;
     }
 
+    /** Unsafe work that may have run, or keyed work of which the repeats are no longer dropped. */
+    private boolean unrepeatable(Request request) {
+        Attempt first = request.mayHaveRun;
+        if (first == null || request.kind.repeat() == Repeat.PURE) return false;
+        return request.kind.repeat() == Repeat.UNSAFE || now >= first.sentMs + request.kind.keyTtlMs();
+    }
+
     /** Keyed work that may have run goes only where its repeats are dropped; unsafe work nowhere. */
     private boolean repeatAllowed(Request request, Engine engine) {
         Attempt first = request.mayHaveRun;
         if (first == null || request.kind.repeat() == Repeat.PURE || engine.role == Role.READ) return true;
-        boolean late = now >= first.sentMs + request.kind.keyTtlMs();
-        if (request.kind.repeat() == Repeat.UNSAFE || late) return false;
+        if (unrepeatable(request)) return false;
         return switch (request.kind.scope()) {
             case ALL -> true;
             case ZONE -> engine.member.zone() == first.engine.member.zone();
@@ -813,8 +822,9 @@
         if (request.phase == Phase.STREAMING || request.out > 0) return;
         if (outcome == Outcome.STATE_GONE) request.holder = null;
         boolean spent = request.attempts.size() >= settings.limits().maxAttempts();
-        // What a mixed engine may have done can be neither repeated nor taken elsewhere: no use in waiting.
-        spent |= attempt.read && request.mayHaveRun != null && request.kind.repeat() == Repeat.UNSAFE;
+        // Guards against holding back an answer, and a state that no engine may take any more: what may have
+        // had its effect can be neither repeated nor taken elsewhere.
+        spent |= unrepeatable(request);
         if (spent || lastMoment(request) <= now) giveUp(request);
         else if (request.holder != null) write(request, attempt.engine);
         else read(request, attempt.engine);
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -23,6 +23,7 @@
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
 import maplerail.front.Door;
+import maplerail.front.Turnstile;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
 import maplerail.net.EngineClient;
@@ -30,7 +31,6 @@
 import maplerail.net.XnioLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -141,7 +141,7 @@
         doors.add(door);
         through.accept(door);
         AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
-                ChannelListeners.openListenerAdapter(door),
+                new Turnstile(door, loop),
                 OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                         .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         listening.resumeAccepts();
--- a/src/main/java/maplerail/core/Admit.java
+++ b/src/main/java/maplerail/core/Admit.java
@@ -21,6 +21,7 @@
     private int open;
     private boolean looking;
     private double behindMs;
+    private double lookMs; // when the next look is due
 
     private static final class Account {
         double tokens;
@@ -42,7 +43,8 @@
         if (ask.kind() < budgets.contracts().size() && ask.size() > budgets.contracts().get(ask.kind()).maxBytes()) {
             return new Denied(Why.INVALID, 0);
         }
-        if (behindMs >= BEHIND_MS) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
+        // A look that is overdue says so too: a batch of arrivals comes before the timers.
+        if (Math.max(behindMs, looking ? loop.nowMs() - lookMs : 0) >= BEHIND_MS) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
         if (open >= budgets.maxOpen()) return new Denied(Why.OVERLOAD, BUSY_MS);
         if (ask.tenant() < budgets.teams().size()) {
             Denied denied = charge(budgets.teams().get(ask.tenant()), accountOf(ask.tenant()));
@@ -61,6 +63,7 @@
         behindMs = late;
         looking = open > 0;
         double due = loop.nowMs() + LOOK_MS;
+        lookMs = due;
         if (looking) loop.at(due, () -> look(loop.nowMs() - due));
         else behindMs = 0;
     }
--- /dev/null
+++ b/src/main/java/maplerail/front/Turnstile.java
@@ -0,0 +1,50 @@
+package maplerail.front;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import maplerail.core.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Lets new connections in a few at a time, with whatever else is due on the loop in between. Guards against a crowd
+ * such as a program just started meets: taken in at one go, it kept the loop from what engines had answered for more
+ * than a second, so that states which nobody had seen counted as pinned.
+ */
+public final class Turnstile implements ChannelListener<AcceptingChannel<StreamConnection>> {
+    /** The most connections let in before the loop looks after the rest. */
+    public static final int AT_ONCE = 4;
+    private static final Logger LOG = LoggerFactory.getLogger(Turnstile.class);
+    private static final double PAUSE_MS = 1;
+
+    private final ChannelListener<StreamConnection> next;
+    private final Loop loop;
+    private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
+    private boolean turning;
+
+    /** A turnstile before what looks after connections that are open. */
+    public Turnstile(ChannelListener<StreamConnection> next, Loop loop) {
+        this.next = next;
+        this.loop = loop;
+    }
+
+    /** Takes all that are there: XNIO runs nothing else on this thread while it has some left. */
+    @Override
+    public void handleEvent(AcceptingChannel<StreamConnection> from) {
+        try {
+            for (StreamConnection came = from.accept(); came != null; came = from.accept()) waiting.add(came);
+        } catch (IOException e) {
+            LOG.warn("a connection could not be taken: {}", e.getMessage());
+        }
+        if (!turning) turn();
+    }
+
+    private void turn() {
+        for (int i = 0; i < AT_ONCE && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
+        turning = !waiting.isEmpty();
+        if (turning) loop.at(loop.nowMs() + PAUSE_MS, this::turn);
+    }
+}
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -86,6 +86,10 @@
         return done;
     }
 
+    boolean waiting() {
+        return !done && link == null;
+    }
+
     void on(Link to) {
         calm();
         disconnect = null;
@@ -162,7 +166,7 @@
 
     /** It has waited for a connection for as long as it may. */
     void failUnconnected() {
-        if (link == null) fail();
+        if (waiting()) fail();
     }
 
     /** Never heard before the call has been handed out. */
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import maplerail.core.Loop;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -23,6 +24,7 @@
     private static final double RETIRE_SHARE = 0.5; // of the time after which the far side closes
     private static final double SETTLE_MS = 30; // after an answer, in which what else belongs to it would come
     private static final int MAX_CONNECTING = 24; // to one address: one that never answers must not take all
+    private static final double LATE_MS = 50; // of a timer, from which the loop is behind
     private static final double SWEEP_MS = 1_000;
     private static final OptionMap OPTIONS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
@@ -55,7 +57,7 @@
             // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
             if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
             else waiting.addLast(call);
-            call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), () -> { });
+            call.connecting(limit(call, () -> { }), () -> { });
         }
         return call;
     }
@@ -84,9 +86,16 @@
         if (waiting.isEmpty()) queued.remove(to);
     }
 
-    /** Guards against a loop that is behind: what has come up by now is seen first. */
-    private void later(Call call) {
-        loop.execute(() -> loop.execute(call::failUnconnected));
+    /**
+     * When a call without a connection fails. Guards against a loop that is behind: it has not looked for that long,
+     * so a limit that it meets late says nothing of the engine and starts anew; what has come up is seen first.
+     */
+    private Loop.Alarm limit(Call call, Runnable cancel) {
+        double due = loop.nowMs() + connectMs;
+        return loop.at(due, () -> {
+            if (loop.nowMs() - due > LATE_MS && call.waiting()) call.connecting(limit(call, cancel), cancel);
+            else loop.execute(() -> loop.execute(call::failUnconnected));
+        });
     }
 
     /** The last one used that has been quiet since; a second answer right behind the first must not meet a request. */
@@ -119,7 +128,7 @@
         connectingInAll++;
         IoFuture<StreamConnection> coming = loop.thread().openStreamConnection(to, null, OPTIONS);
         // Called off, it is closed: one that never comes up would hold a descriptor for minutes.
-        call.connecting(loop.at(loop.nowMs() + connectMs, () -> later(call)), coming::cancel);
+        call.connecting(limit(call, coming::cancel), coming::cancel);
         coming.addNotifier((future, none) -> loop.execute(() -> connected(to, call, future)), null);
     }
 
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -296,6 +296,38 @@
         }
     }
 
+    /** Seen on days of engines that answer 500: each trial of one that was ejected could cost a repair order. */
+    @Test
+    void anEjectedWriterIsTriedWithWorkThatMayBeSentAgain() {
+        Node node = new Node();
+        node.repeat = Repeat.UNSAFE;
+        node.start(reader(1), writer(11), writer(12), writer(13));
+        long failing = 0;
+        for (int id = 1; id <= 60; id++) {
+            node.now += 100;
+            node.arrive(id);
+            node.end(id, 0, Outcome.READ);
+            long writer = node.sends().get(node.sends().size() - 1).engine();
+            if (failing == 0) failing = writer;
+            if (writer == failing) {
+                node.end(id, 1, Outcome.ERROR);
+            } else {
+                node.first(id, 1);
+                node.end(id, 1, Outcome.SERVED);
+            }
+        }
+        assertEquals(2, node.of(Fail.class).size(), "6 s hold several trials; the first has no peers to be judged by");
+        node.now += 13_000;
+        for (int id = 61; id <= 80; id++) {
+            node.arrive(id);
+            node.end(id, 0, Outcome.READ);
+            node.first(id, 1);
+            node.end(id, 1, Outcome.SERVED);
+        }
+        long tried = failing;
+        assertTrue(node.sends().stream().skip(120).anyMatch(s -> s.engine() == tried), "no other work comes");
+    }
+
     // ---- No effect twice ----
 
     @Test
@@ -308,9 +340,10 @@
         node.end(1, 1, Outcome.FULL);
         assertNotNull(node.sent(), "'full' proves that it never ran");
         node.end(1, 2, Outcome.RESET);
+        assertEquals(1, node.of(Fail.class).size(), "at once: no engine may take it any more");
+        assertEquals(1, node.of(Release.class).size(), "nor the state, which would be pinned");
         node.until(7_000);
         assertEquals(3, node.sends().size());
-        assertEquals(1, node.of(Fail.class).size());
         assertTrue(node.of(Refuse.class).isEmpty());
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -303,6 +303,15 @@
         assertThat(out).hasSize(2);
     }
 
+    /** A crowd comes in one batch, before any timer could tell that the loop is behind. */
+    @Test
+    void aLoopThatFallsBehindWithinABatchTakesNoMoreOfIt() {
+        take("a", send(WRITER));
+        loop.now += 200;
+        take("b");
+        assertThat(caller).containsExactly("refuse OVERLOAD 500");
+    }
+
     /** A read that was cut off may have ended just then, or end later all the same: its state would stay pinned. */
     @Test
     void aReadThatWasCutOffIsLetGoAgainAndAgain() {
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -4,14 +4,24 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 class DoorTest {
     private static final int LIMIT_MS = 20_000; // ends a test that would never end
@@ -65,4 +75,43 @@
             for (Socket socket : stayed) socket.close();
         }
     }
+
+    /** A crowd taken in at one go kept the loop from what engines had answered. */
+    @Test
+    void aCrowdComesInAFewAtATime() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        XnioLoop loop = new XnioLoop(worker.getIoThread());
+        AtomicInteger came = new AtomicInteger();
+        AtomicInteger most = new AtomicInteger();
+        Turnstile turnstile = new Turnstile(connection -> came.incrementAndGet(), loop);
+        CountDownLatch crowded = new CountDownLatch(1);
+        List<Socket> crowd = new ArrayList<>();
+        try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
+                new InetSocketAddress("127.0.0.1", 0), turnstile, OptionMap.create(Options.BACKLOG, 200))) {
+            loop.execute(() -> {
+                try {
+                    crowded.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            loop.execute(() -> step(loop, came, most, 0));
+            server.resumeAccepts();
+            InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
+            for (int i = 0; i < 100; i++) crowd.add(new Socket(at.getAddress(), at.getPort()));
+            crowded.countDown();
+            World.await("all of them", () -> came.get() == 100);
+            assertThat(most.get()).isBetween(1, 3 * Turnstile.AT_ONCE);
+        } finally {
+            for (Socket socket : crowd) socket.close();
+            worker.shutdownNow();
+        }
+    }
+
+    /** Notes how many came since the loop was last here. */
+    private static void step(XnioLoop loop, AtomicInteger came, AtomicInteger most, int before) {
+        int now = came.get();
+        most.accumulateAndGet(now - before, Math::max);
+        if (now < 100) loop.at(loop.nowMs() + 1, () -> step(loop, came, most, now));
+    }
 }
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -187,6 +187,22 @@
         }
     }
 
+    /** Seen after restarts: 83 connects in a second held to have failed, and their engines with them. */
+    @Test
+    void aLoopThatIsBehindHoldsNoConnectToHaveFailed() throws Exception {
+        try (StandIn server = new StandIn(x -> x.reply(200, ""))) {
+            Pool pool = pool(30_000);
+            loop.execute(() -> {
+                for (int i = 0; i < 60; i++) {
+                    pool.start(server.socketAddress(), request(server.socketAddress()), new byte[2], new Heard(heard));
+                }
+                long from = System.nanoTime();
+                while (System.nanoTime() - from < 400_000_000L) Thread.onSpinWait(); // longer than a connect may take
+            });
+            for (int i = 0; i < 60; i++) assertThat(take(heard)).isEqualTo("end");
+        }
+    }
+
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
         StandIn gone = new StandIn(x -> { });
