A release that its engine can't hear is said to another; tables forget what is gone

The protocol lets go of everything held for a request at whichever engine the call comes to, so after a failure the call also goes to engines that are in service. Read with it: EngineClient's addresses and Fleet's roles kept every engine that ever was, ToolClient every server, the module's tables of conversations and beginnings up to 20,000 keys that nobody believes after 20 s. Now all are trimmed as their owners go. Tests with thousands of engines and keys fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -445,7 +445,13 @@
         double seen = heatOf(key) + 1;
         heat.remove(key);
         heat.put(key, new double[] {seen, now});
-        if (heat.size() > MAX_KEYS) heat.remove(heat.keySet().iterator().next());
+        trim(heat, h -> h[1] <= now - MEMORY_MS - ENTRY_AGE);
+    }
+
+    /** Tables are in the order of use; guards against a day of new keys that nobody comes back with. */
+    private static <T> void trim(Map<Long, T> table, Predicate<T> aged) {
+        var eldest = table.values().iterator();
+        while (eldest.hasNext() && (aged.test(eldest.next()) || table.size() > MAX_KEYS)) eldest.remove();
     }
 
     private static long mix(long value) {
@@ -479,10 +485,10 @@
         if (key == 0 || !(tokens > 0)) return;
         ArrayDeque<Holding> holdings = Objects.requireNonNullElseGet(table.remove(key), ArrayDeque::new);
         table.put(key, holdings);
-        if (table.size() > MAX_KEYS) table.remove(table.keySet().iterator().next());
         holdings.removeIf(h -> h.engine() == engine || h.atMs() <= now - ENTRY_AGE);
         holdings.addLast(new Holding(engine, tokens, now));
         if (holdings.size() > MAX_HOLDERS) holdings.removeFirst();
+        trim(table, h -> h.isEmpty() || h.peekLast().atMs() <= now - ENTRY_AGE);
     }
 
     private void drop(Request request, Engine engine) {
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -117,7 +117,7 @@
         loop.execute(() -> {
             EngineList known = config.known();
             if (known != null) {
-                engines.addresses(known.addresses());
+                engines.hear(known);
                 broker.members(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members()));
             }
             watch.ask();
@@ -149,7 +149,7 @@
     }
 
     private void hear(EngineList list) {
-        engines.addresses(list.addresses());
+        engines.hear(list);
         broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
                 list.version(), list.members()));
         ready();
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -14,14 +14,16 @@
     private final Loop loop;
     private final Admit admit;
     private final double pinLimitMs;
+    private final Fleet fleet;
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
 
-    Book(Engines engines, Loop loop, Admit admit, double pinLimitMs) {
+    Book(Engines engines, Loop loop, Admit admit, Fleet fleet, double pinLimitMs) {
         this.engines = engines;
         this.loop = loop;
         this.admit = admit;
+        this.fleet = fleet;
         this.pinLimitMs = pinLimitMs;
     }
 
@@ -72,18 +74,22 @@
     private void letGo(Entry entry, long engine) {
         entry.mayHold.remove(engine);
         entry.holds.remove(engine);
-        engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
+        free(engine, entry);
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits: the state that it leaves then is held like any other.
         if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
         for (double afterMs : AGAIN_MS) {
             loop.at(loop.nowMs() + afterMs, () -> {
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
-                if (entry.answered || !inUse) engines.release(engine, entry.ask.id(), loop.nowMs() + pinLimitMs);
+                if (entry.answered || !inUse) free(engine, entry);
             });
         }
     }
 
+    private void free(long engine, Entry entry) {
+        engines.release(engine, fleet.allReady(), entry.ask.id(), loop.nowMs() + pinLimitMs);
+    }
+
     /** After each end of an attempt: leftovers of cut reads go, and a page that is done is closed. */
     void settle(Entry entry) {
         if (entry.anyOut()) return;
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -28,7 +28,7 @@
         this.log = log;
         fleet = new Fleet(settings.kinds());
         this.admit = admit;
-        book = new Book(engines, loop, admit, settings.rules().pinLimitMs());
+        book = new Book(engines, loop, admit, fleet, settings.rules().pinLimitMs());
         takeIn = new TakeIn(loop, book);
         relay = new Relay(book, loop);
         send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -1,5 +1,6 @@
 package maplerail.core;
 
+import java.util.Set;
 import maplerail.Router;
 
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
@@ -7,8 +8,11 @@
     /** Makes one attempt. The answer hears exactly one {@code ended}, never before this call returns. */
     Sending send(long engine, Ask ask, double untilMs, Answer answer);
 
-    /** Lets go of what an engine holds for a request, trying again up to a time. */
-    void release(long engine, String id, double untilMs);
+    /**
+     * Lets go of what is held for a request, trying again up to a time. The call goes to the engine that may hold it,
+     * and where that can't be heard also to one of the others: on the platform any of them lets go of everything.
+     */
+    void release(long engine, Set<Long> others, String id, double untilMs);
 
     /** An attempt on its way. */
     interface Sending {
--- a/src/main/java/maplerail/core/Fleet.java
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -1,5 +1,6 @@
 package maplerail.core;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,11 +20,16 @@
 
     void hear(Router.Members news) {
         if (news.kind() == Router.ListKind.FAILED) return;
-        if (news.kind() != Router.ListKind.CHANGES) ready.clear();
+        if (news.kind() != Router.ListKind.CHANGES) {
+            ready.clear();
+            roles.clear();
+        }
         for (Router.Member member : news.members()) {
             if (member.kind() < kinds.size()) roles.put(member.engine(), kinds.get(member.kind()).role());
             if (member.state() == Router.State.READY) ready.add(member.engine());
             else ready.remove(member.engine());
+            // Guards against a table that grows with every engine that ever was.
+            if (member.state() == Router.State.GONE) roles.remove(member.engine());
         }
     }
 
@@ -31,8 +37,13 @@
         return ready.contains(engine);
     }
 
-    boolean known(long engine) {
-        return roles.containsKey(engine);
+    Set<Long> allReady() {
+        return Collections.unmodifiableSet(ready);
+    }
+
+    /** Engines of which anything is remembered. */
+    int size() {
+        return roles.size();
     }
 
     boolean reader(long engine) {
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -9,11 +9,18 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import maplerail.Router;
 import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
+import maplerail.config.EngineList;
 import maplerail.config.Tree;
 import maplerail.core.Ask;
 import maplerail.core.Engines;
@@ -24,11 +31,15 @@
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
     private static final double AGAIN_MS = 60; // between two tries at a release
     private static final double SILENT_MS = 200; // after which a release that was not answered is tried again
+    private static final int MOST_LEFT = 256; // engines that left, the last of which are remembered
+    private static final int MOST_OTHERS = 3; // told of a release that its engine can't be told of
+    private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
     private final Pool pool;
     private final XnioLoop loop;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<Long, InetSocketAddress> left = new LinkedHashMap<>();
 
     /** Makes a client that opens its connections from a pool. */
     public EngineClient(Pool pool) {
@@ -36,15 +47,39 @@
         this.loop = pool.loop();
     }
 
-    /** Where engines are; one that left the list stays known, as something may be held there. */
-    public void addresses(Map<Long, InetSocketAddress> news) {
-        addresses.putAll(news);
+    /** Where engines are; those that left the list last stay known, as something may be held there. */
+    public void hear(EngineList list) {
+        if (list.whole()) leave(id -> list.members().stream().noneMatch(member -> member.engine() == id));
+        addresses.putAll(list.addresses());
+        left.keySet().removeAll(list.addresses().keySet());
+        for (Router.Member member : list.members()) {
+            if (member.state() == Router.State.GONE) leave(id -> id == member.engine());
+        }
+    }
+
+    private void leave(Predicate<Long> gone) {
+        addresses.entrySet().removeIf(entry -> {
+            if (!gone.test(entry.getKey())) return false;
+            left.put(entry.getKey(), entry.getValue());
+            // Guards against a table that grows with every engine that ever was.
+            if (left.size() > MOST_LEFT) left.remove(left.keySet().iterator().next());
+            return true;
+        });
+    }
+
+    private InetSocketAddress address(long engine) {
+        return addresses.getOrDefault(engine, left.get(engine));
+    }
+
+    /** Engines whose address is known. */
+    public int known() {
+        return addresses.size() + left.size();
     }
 
     @Override
     public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
         HttpCargo cargo = (HttpCargo) ask.cargo();
-        InetSocketAddress to = addresses.get(engine);
+        InetSocketAddress to = address(engine);
         ClientRequest request = Requests.to(to, cargo.method(), cargo.target());
         for (Map.Entry<HttpString, String> header : cargo.headers()) {
             request.getRequestHeaders().add(header.getKey(), header.getValue());
@@ -112,16 +147,25 @@
     }
 
     @Override
-    public void release(long engine, String id, double untilMs) {
-        InetSocketAddress to = addresses.get(engine);
-        if (to != null) new Release(to, "/internal/reservations/" + id, untilMs).attempt();
+    public void release(long engine, Set<Long> others, String id, double untilMs) {
+        InetSocketAddress to = address(engine);
+        if (to == null) return;
+        Release release = new Release(to, "/internal/reservations/" + id, untilMs);
+        others.stream().sorted(Comparator.comparingLong(other -> (other ^ id.hashCode()) * SPREAD)).map(this::address)
+                .filter(other -> other != null && !other.equals(to)).limit(MOST_OTHERS).forEach(release.others::add);
+        release.attempt();
     }
 
-    /** A release goes on until it is answered or too late: the time runs while connections fail to come up. */
+    /**
+     * A release goes on until it is answered or too late: the time runs while connections fail to come up. Guards
+     * against a reader that has left with a state that is still accounted for: what can't be said there is said to
+     * another engine too.
+     */
     private final class Release implements Reply {
         private final InetSocketAddress to;
         private final String target;
         private final double untilMs;
+        private final ArrayDeque<InetSocketAddress> others = new ArrayDeque<>();
         private Call call;
         private Loop.Alarm silence;
 
@@ -148,9 +192,32 @@
 
         private void again(double afterMs) {
             silence.cancel();
+            elsewhere();
             if (loop.nowMs() + afterMs < untilMs) loop.at(loop.nowMs() + afterMs, this::attempt);
         }
 
+        private void elsewhere() {
+            InetSocketAddress other = others.poll();
+            if (other == null) return;
+            pool.start(other, Requests.to(other, Methods.DELETE, target), new byte[0], new Reply() {
+                @Override
+                public void head(int status, HeaderMap headers) {
+                    others.clear();
+                }
+
+                @Override
+                public void body(ByteBuffer piece) { }
+
+                @Override
+                public void end() { }
+
+                @Override
+                public void failed(boolean neverSent) {
+                    if (loop.nowMs() < untilMs) elsewhere();
+                }
+            });
+        }
+
         @Override
         public void head(int status, HeaderMap headers) {
             silence.cancel();
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import maplerail.Router.Outcome;
 import maplerail.core.Ask;
 import maplerail.core.Engines;
@@ -34,8 +35,9 @@
         this.loop = pool.loop();
     }
 
-    /** Where tool servers are. */
+    /** Where a service's tool servers are: all of them, each time. */
     public void addresses(Map<Long, InetSocketAddress> news) {
+        addresses.clear();
         addresses.putAll(news);
     }
 
@@ -100,5 +102,5 @@
 
     /** Tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, String id, double untilMs) { }
+    public void release(long engine, Set<Long> others, String id, double untilMs) { }
 }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -316,7 +316,7 @@
                 node.end(id, 1, Outcome.SERVED);
             }
         }
-        assertEquals(2, node.of(Fail.class).size(), "6 s hold several trials; the first has no peers to be judged by");
+        assertEquals(2, node.of(Fail.class).size(), "6 s hold several trials; the first has no peers yet");
         node.now += 13_000;
         for (int id = 61; id <= 80; id++) {
             node.arrive(id);
@@ -328,6 +328,18 @@
         assertTrue(node.sends().stream().skip(120).anyMatch(s -> s.engine() == tried), "no other work comes");
     }
 
+    /** A long day's conversations are always new. */
+    @Test
+    void whatNobodyBelievesAnyMoreIsForgotten() {
+        Node node = new Node().start(reader(1), reader(2), writer(11));
+        for (int id = 1; id <= 3_000; id++) {
+            node.now += 200;
+            node.arrive(id, id, 100_000 + id, 500, 1_000);
+            node.serve(id);
+        }
+        assertTrue(node.tableSizes() < 700, "held: " + node.tableSizes());
+    }
+
     // ---- No effect twice ----
 
     @Test
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Set;
 import maplerail.Router;
 import maplerail.Router.Cancel;
 import maplerail.Router.Ended;
@@ -113,7 +114,7 @@
             }
 
             @Override
-            public void release(long engine, String id, double untilMs) {
+            public void release(long engine, Set<Long> others, String id, double untilMs) {
                 released.add(engine + "/" + id);
                 wire.add("release");
             }
@@ -303,6 +304,18 @@
         assertThat(out).hasSize(2);
     }
 
+    @Test
+    void theFleetForgetsEnginesThatAreGone() {
+        Fleet fleet = new Fleet(List.of(new Router.Kind(Router.Role.READ, 1)));
+        for (long id = 1; id <= 1_000; id++) {
+            fleet.hear(new Router.Members(ListKind.CHANGES, id, List.of(new Member(id, State.READY, 0, 0, 0, 1, 0),
+                    new Member(id - 1, State.GONE, 0, 0, 0, 1, 0))));
+        }
+        assertThat(fleet.size()).isEqualTo(1);
+        fleet.hear(new Router.Members(ListKind.WHOLE, 2_000, List.of()));
+        assertThat(fleet.size()).isZero();
+    }
+
     /** A crowd comes in one batch, before any timer could tell that the loop is behind. */
     @Test
     void aLoopThatFallsBehindWithinABatchTakesNoMoreOfIt() {
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -229,6 +229,26 @@
         }
     }
 
+    /** Seen on a day of engines replaced: a reader that had left with a state could not be told to let it go. */
+    @Test
+    void aReleaseThatItsEngineCannotHearIsSaidToAnother() throws Exception {
+        BlockingQueue<StandIn.Exchange> waiting = World.queue();
+        try (StandIn reader = new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reset();
+            else x.reply(202, "{}");
+        }); StandIn writer = new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reply(204, "");
+            else waiting.add(x);
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            client.getOutputStream().write(request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+            take(waiting);
+            reader.close();
+            client.close();
+            await("the other told", () -> writer.count("DELETE /internal/reservations/a1") > 0);
+        }
+    }
+
     @Test
     void aDrainingEngineGetsNothingNew() throws Exception {
         try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn other = World.writer();
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -13,7 +13,10 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import maplerail.Router;
+import maplerail.config.EngineList;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
@@ -203,6 +206,21 @@
         }
     }
 
+    /** A long day replaces engines all the time. */
+    @Test
+    void enginesThatLeftAreForgottenInTheEnd() throws Exception {
+        try (StandIn at = new StandIn(x -> { })) {
+            EngineClient client = new EngineClient(pool(30_000));
+            for (long id = 1; id <= 5_000; id++) {
+                Router.Member came = new Router.Member(id, Router.State.READY, 0, 0, 0, 1, 0);
+                Router.Member gone = new Router.Member(id - 1, Router.State.GONE, 0, 0, 0, 1, 0);
+                client.hear(new EngineList(id, id % 10 == 0, id % 10 == 0 ? List.of(came) : List.of(came, gone),
+                        Map.of(id, at.socketAddress())));
+            }
+            assertThat(client.known()).isLessThan(300);
+        }
+    }
+
     @Test
     void aConnectionThatIsRefusedProvesThatNothingWasSent() throws Exception {
         StandIn gone = new StandIn(x -> { });
