Unsafe writes are called off past their aim only, and shut no admission meanwhile

Cause: Logic.overdue cancels any write that takes thrice what its peers take. Excluded: readers (none failed), connects. Now one that may be answering is called off once its aim has passed; until then its age tells admission nothing. New test fails without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -130,7 +130,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused;
+        boolean ended, cancelled, begun, excused, late;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() { return engine.role == Role.READ && sentMs < engine.answeredSentMs; }
@@ -796,8 +796,14 @@
             return;
         }
         boolean unsafe = request.kind.repeat() == Repeat.UNSAFE;
-        // A mixed engine that reads may have begun to answer: calling it off could only lose the answer.
-        if (unsafe && attempt.read && attempt == request.mayHaveRun) return;
+        if (unsafe && attempt == request.mayHaveRun) {
+            // It may have begun to answer and can go nowhere else: calling it off in time could only lose it.
+            attempt.late = true;
+            if (!attempt.read && now < request.aimMs) {
+                setTimer(request.asked.id(), number, Alarm.OVERDUE, request.aimMs);
+            }
+            if (attempt.read || now < request.aimMs) return;
+        }
         // Where the whole role is behind, a copy only adds to it.
         double behind = pooled(attempt.read ? reads : firstTokens);
         if (!lost && unmet(attempt.engine) && behind > BEHIND * request.kind.aimMs()) return;
@@ -930,8 +936,8 @@
 
     /** Guards against a lost answer that would pass for a queue and shut admission for a deadline. */
     private double oldestMs(Engine engine) {
-        return engine.out.stream().filter(a -> !a.begun && !a.cancelled && !a.overtaken()).findFirst()
-                .map(a -> now - a.sentMs).orElse(0.0);
+        return engine.out.stream().filter(a -> !a.begun && !a.cancelled && !a.late && !a.overtaken())
+                .findFirst().map(a -> now - a.sentMs).orElse(0.0);
     }
 
     // ---- End of request ----
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -359,6 +359,22 @@
         assertTrue(node.of(Refuse.class).isEmpty());
     }
 
+    /** Seen when writers died: orders called off after 0.8 s that the others would have answered in time. */
+    @Test
+    void unsafeWorkAtAWriterIsNotCalledOffWhileItMayBeInTime() {
+        Node node = new Node();
+        node.repeat = Repeat.UNSAFE;
+        node.start(reader(1), writer(11), writer(12));
+        node.arrive(1);
+        node.end(1, 0, Outcome.READ);
+        node.until(2_039);
+        assertTrue(node.of(Cancel.class).isEmpty());
+        node.arrive(2);
+        assertNotNull(node.sent(), "it tells nothing of a queue either");
+        node.until(2_100);
+        assertEquals(List.of(new Cancel(1, 1)), node.of(Cancel.class));
+    }
+
     /** Found on rough-1 and big-2: a second read of a repair order went out while the first had not ended. */
     @Test
     void anUnsafeReadIsNeverCopiedWhileItIsOut() {
