Prompts are read in the gateway's own zone while its writers have room; untried engines first

Now the zone follows the writer with room, own zone first; strained readers still give way to all; engines that a request has tried come last. New tests fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -130,7 +130,7 @@
         final boolean read;
         final double sentMs;
         double cost, uncached, matched;
-        boolean ended, cancelled, begun, excused, late;
+        boolean ended, cancelled, begun, excused, late, answered;
 
         /** A reader takes prompts in turn: an answer to a later one says that this one's is lost. */
         boolean overtaken() { return engine.role == Role.READ && sentMs < engine.answeredSentMs; }
@@ -357,7 +357,41 @@
     private Engine chooseReader(Request request, Engine not) {
         List<Engine> able = able(request, not, e -> reads(e));
         if (able.isEmpty()) return null;
-        return spill(request, d2lpm(request, able, longestMatch(request, able)), able);
+        int zone = zone(request, able);
+        // What other zones' nodes have had read here is unknown, so a home here is no match.
+        List<Engine> near = able.stream().filter(e -> e.member.zone() == zone).toList();
+        if (!near.isEmpty() && near.size() < able.size()) {
+            Engine here = d2lpm(request, near, longestMatch(request, near, false));
+            if (!strained(request, here)) return here;
+        }
+        List<Engine> matched = longestMatch(request, able, settings.routers() > 1);
+        return spill(request, d2lpm(request, able, matched), able);
+    }
+
+    /**
+     * The zone to read in: its own, unless writers elsewhere have that much more room. Guards against a price
+     * for each crossing between sites; following the writers, states need not leave a zone that is short of them.
+     */
+    private int zone(Request request, List<Engine> readers) {
+        double average = reportedAverage();
+        List<Engine> writers = able(request, null, e -> e.role != Role.READ
+                && readers.stream().anyMatch(r -> r.member.zone() == e.member.zone()));
+        Engine best = least(writers, e -> load(e, request, average) + away(e), 0);
+        return best == null ? settings.zone() : best.member.zone();
+    }
+
+    private double away(Engine engine) {
+        return engine.member.zone() == settings.zone() ? 0 : FAR_ZONE;
+    }
+
+    /** What a writer has taken on, as a share of its memory; its waits count too. */
+    private double load(Engine writer, Request request, double average) {
+        return projectedShare(writer, request, average) + WAIT_SHARE * waitMs(writer) / request.kind.aimMs();
+    }
+
+    private double reportedAverage() {
+        return engines.values().stream().filter(e -> e.ready && !Double.isNaN(e.reported))
+                .mapToDouble(e -> e.reported).average().orElse(0);
     }
 
     private boolean reads(Engine engine) {
@@ -390,13 +424,19 @@
      * queues of other nodes; could harm by spreading a beginning over readers that then evict others.
      */
     private Engine spill(Request request, Engine chosen, List<Engine> able) {
+        if (!strained(request, chosen)) return chosen;
         double here = expectedMs(request, chosen);
         boolean slow = relativePace(chosen) >= REMARKABLE;
-        if (!slow && here <= SPILL * (request.aimMs - now)) return chosen;
         Engine other = least(able, e -> expectedMs(request, e), random.nextLong());
         return expectedMs(request, other) < (slow ? here : here / 2) ? other : chosen;
     }
 
+    /** Slow, or expected to use up the aim. */
+    private boolean strained(Request request, Engine reader) {
+        return relativePace(reader) >= REMARKABLE
+                || expectedMs(request, reader) > SPILL * (request.aimMs - now);
+    }
+
     private double expectedMs(Request request, Engine reader) {
         return readMs(reader, reader.queued + needed(request, reader));
     }
@@ -418,7 +458,7 @@
     }
 
     /** The able readers that hold the longest match, as far as known or likely; else the key's homes. */
-    private List<Engine> longestMatch(Request request, List<Engine> able) {
+    private List<Engine> longestMatch(Request request, List<Engine> able, boolean shared) {
         // With more history than beginning the session's home is what all nodes agree on.
         boolean most = request.asked.promptTokens() > 2 * request.asked.prefixTokens();
         boolean history = most && request.asked.session() != 0;
@@ -429,7 +469,7 @@
                 .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
                 .toList();
         boolean sentByOthers = seen * (settings.routers() - 1) > homes.size();
-        request.homes = sentByOthers || history && settings.routers() > 1 ? homes : List.of();
+        request.homes = shared && (sentByOthers || history) ? homes : List.of();
         request.assumed = history ? HISTORY * request.asked.promptTokens() : request.asked.prefixTokens();
         double longest = able.stream().mapToDouble(e -> matchedTokens(request, e)).max().orElse(0);
         return longest > 0 ? able.stream().filter(e -> matchedTokens(request, e) >= longest).toList() : homes;
@@ -520,12 +560,11 @@
     }
 
     private Engine chooseWriter(Request request, Engine not) {
-        double average = engines.values().stream().filter(e -> e.ready && !Double.isNaN(e.reported))
-                .mapToDouble(e -> e.reported).average().orElse(0);
+        double average = reportedAverage();
         List<Engine> able = able(request, not, e -> e.role != Role.READ);
         int near = able.isEmpty() ? 0 : nearCell(request.holder, able);
-        return least(able, e -> projectedShare(e, request, average) + distance(request.holder, e, near)
-                + WAIT_SHARE * waitMs(e) / request.kind.aimMs(), random.nextLong());
+        return least(able, e -> load(e, request, average) + distance(request.holder, e, near),
+                random.nextLong());
     }
 
     /**
@@ -569,6 +608,7 @@
         if (!Double.isNaN(ended.load().memoryShare())) engine.reported = ended.load().memoryShare();
         switch (ended.outcome()) {
             case READ -> {
+                attempt.answered = true;
                 // What was really read: other nodes' prompts decide what is kept.
                 double read = Math.max(0, attempt.request.asked.promptTokens() - sane(ended.kept()));
                 attempt.cost += read - attempt.uncached;
@@ -698,7 +738,13 @@
                 .filter(e -> e.ready && role.test(e) && coldRoom(e) && repeatAllowed(request, e)).toList();
         List<Engine> others = open.stream().filter(e -> e != not).toList();
         List<Engine> healthy = others.stream().filter(e -> admits(e, request)).toList();
-        return !healthy.isEmpty() ? healthy : others.isEmpty() ? open : others;
+        List<Engine> fresh = healthy.stream().filter(e -> !tried(request, e)).toList();
+        return !fresh.isEmpty() ? fresh : !healthy.isEmpty() ? healthy : others.isEmpty() ? open : others;
+    }
+
+    /** Guards against going back to an engine that loses what is sent to it, in turns with another such. */
+    private boolean tried(Request request, Engine engine) {
+        return request.attempts.stream().anyMatch(a -> a.engine == engine && !a.answered);
     }
 
     private boolean send(Request request, Engine engine, boolean read, double uncached, double matched) {
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -88,6 +88,73 @@
         assertNotEquals(home, node.sent().engine(), "60,000 tokens and outputs are over the quantum");
     }
 
+    private static Member in(int zone, long engine, int kind) {
+        return new Member(engine, State.READY, 0, zone, zone, 1, kind);
+    }
+
+    /** A reader and a writer in each of three zones; the node is in zone 0. */
+    private static Node zones() {
+        Node node = new Node();
+        node.routers = 3;
+        return node.start(in(0, 1, 0), in(1, 2, 0), in(2, 3, 0), in(0, 11, 1), in(1, 12, 1), in(2, 13, 1));
+    }
+
+    @Test
+    void promptsAreReadAndWrittenInItsOwnZoneWhileThatHasRoom() {
+        Node node = zones();
+        for (int id = 1; id <= 20; id++) {
+            node.arrive(id, id, 100 + id, 1_000, 5_000);
+            assertEquals(1, node.sent().engine());
+            node.end(id, 0, Outcome.READ);
+            assertEquals(11, node.sent().engine());
+            node.first(id, 1);
+            node.end(id, 1, Outcome.SERVED);
+        }
+    }
+
+    @Test
+    void promptsAreReadElsewhereWhereTheWritersHaveMoreRoom() {
+        Node node = zones();
+        Set<Long> readers = new java.util.TreeSet<>();
+        for (int id = 1; id <= 40; id++) {
+            node.arrive(id, id, 100 + id, 2_000, 5_000);
+            long reader = node.sent().engine();
+            readers.add(reader);
+            node.end(id, 0, Outcome.READ);
+            assertEquals(reader + 10, node.sent().engine(), "the state stays in its zone");
+            node.first(id, 1);
+        }
+        assertEquals(Set.of(1L, 2L, 3L), readers);
+    }
+
+    @Test
+    void aReaderThatIsSlowIsLeftForOneOfAnotherZone() {
+        Node node = zones();
+        for (int id = 1; id <= 12; id++) {
+            node.arrive(id, id, 100 + id, 1_000, 5_000);
+            long reader = node.sent().engine();
+            node.end(id, 0, Outcome.READ, reader == 1 ? 300 : 40, 0, false);
+            node.first(id, 1);
+            node.end(id, 1, Outcome.SERVED);
+            // The others are known from work that came when its own zone had none to spare.
+            if (id == 1) node.list(ListKind.CHANGES, new Member(1, State.DRAINING, 0, 0, 0, 1, 0));
+            if (id == 6) node.list(ListKind.CHANGES, in(0, 1, 0));
+        }
+        assertNotEquals(1, node.sends().get(node.sends().size() - 2).engine());
+    }
+
+    @Test
+    void aRequestDoesNotGoBackToAnEngineThatLostItWhileOthersAreLeft() {
+        Node node = small();
+        node.arrive(1);
+        Set<Long> tried = new java.util.TreeSet<>(Set.of(node.sent().engine()));
+        for (int attempt = 0; attempt < 2; attempt++) {
+            node.end(1, attempt, Outcome.RESET);
+            tried.add(node.sent().engine());
+        }
+        assertEquals(Set.of(1L, 2L, 3L), tried);
+    }
+
     @Test
     void anEntryAgesOut() {
         Node node = small();
