A late loop lets in one connection a turn; the rest of a broken stream is never refused

The requests 'refused' from 5 to 15 s, when no gateway refused anything, were streams cut by the end of the old process (40 and 73 open) whose rest the new one turned away. Excluded: what follows a longer service of the old process (no client came), and an earlier exit (restarts come 4.2 s after SIGTERM either way). Tests fail without it.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -56,6 +56,7 @@
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
     private static final double ADMIT = 0.7, QUEUED = 0.2; // of an aim, for a first token; for queues alone
     private static final double SHARE_MS = 5_000; // of its share that a tenant may use at once
+    private static final double USUAL_MS = 10; // for which what is usual in a role is not reckoned again
     private static final double LOOK_MS = 25; // between two looks for an engine for a request that has none
     private static final double MARGIN_TICKS = 3, MARGIN_MS = 4; // that a timer is set before its limit
     private static final double COLD_LOAD = 1.2, RATE_MS = 10_000; // of its present capacity; mean of sends
@@ -189,6 +190,7 @@
     /** How many of the arrivals of late had each beginning, fading; 0 stands for all. */
     private final Map<Long, double[]> heat = new LinkedHashMap<>();
     private final Map<Role, Usual> usual = new TreeMap<>();
+    private double usualUntil;
     /** Waits for a first token lately, wherever; one as long as the aim for a writer that was full. */
     private final Evidence firstTokens = new Evidence();
     /** The same for reads, beyond what they take at the calm pace: the least lately seen. */
@@ -214,8 +216,10 @@
     public List<Action> step(double nowMs, List<? extends Event> events) {
         now = nowMs;
         actions = new ArrayList<>();
-        usual.clear();
+        if (now >= usualUntil) usual.clear();
         for (Event event : events) {
+            // What is seen of an engine counts at once; that a few milliseconds pass does not.
+            if (event instanceof Ended || event instanceof FirstToken) usual.clear();
             if (event instanceof Arrival arrival) onArrival(arrival);
             if (event instanceof Ended ended) onEnded(ended);
             if (event instanceof FirstToken first) onFirstToken(first);
@@ -233,6 +237,7 @@
             askPending = true;
             return;
         }
+        usual.clear();
         List<Long> named = news.members().stream().map(Member::engine).toList();
         if (news.kind() != ListKind.CHANGES) engines.keySet().retainAll(named);
         for (Member member : news.members()) {
@@ -281,8 +286,10 @@
         if (arrival.prefix() != 0) warm(arrival.prefix());
         retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
         setTimer(arrival.id(), 0, Alarm.DEADLINE, lastMoment(request));
-        if (overloaded(request)) giveUp(request);
-        else read(request, null);
+        request.phase = Phase.READING;
+        Engine reader = chooseReader(request, null);
+        if (overloaded(request, reader)) giveUp(request);
+        else readAt(request, reader);
     }
 
     private void onFirstToken(FirstToken first) {
@@ -345,7 +352,10 @@
     /** Sends the prompt to a reader, or looks again a little later if none can take it. */
     private void read(Request request, Engine not) {
         request.phase = Phase.READING;
-        Engine reader = chooseReader(request, not);
+        readAt(request, chooseReader(request, not));
+    }
+
+    private void readAt(Request request, Engine reader) {
         if (reader == null) wait(request);
         if (reader == null) return;
         double matched = matchedTokens(request, reader);
@@ -370,7 +380,7 @@
 
     /**
      * The zone to read in: its own, unless writers elsewhere have that much more room. Guards against a price
-     * for each crossing between sites; following the writers, states need not leave a zone that is short of them.
+     * for each crossing between sites; following the writers, states need not leave a zone short of them.
      */
     private int zone(Request request, List<Engine> readers) {
         double average = reportedAverage();
@@ -671,6 +681,7 @@
     }
 
     private Usual usual(Engine engine) {
+        if (usual.isEmpty()) usualUntil = now + USUAL_MS;
         return usual.computeIfAbsent(engine.role, role -> {
             List<Engine> peers = peers(engine);
             double rate = peers.stream().filter(e -> !cold(e)).mapToDouble(this::rateOf).average().orElse(0);
@@ -924,9 +935,9 @@
      * Work gives way when its first token is expected near its own aim, or near that of work worth more.
      * Guards against every lasting lack of capacity; could harm where a short burst would have passed.
      */
-    private boolean overloaded(Request request) {
-        Engine reader = chooseReader(request, null);
-        if (reader == null) return false;
+    private boolean overloaded(Request request, Engine reader) {
+        // The rest of a stream that broke is let in: refused, what was served of it would be lost too.
+        if (reader == null || request.asked.resumed()) return false;
         double[] waits = able(request, null, e -> e.role != Role.READ).stream().mapToDouble(this::lately)
                 .sorted().toArray();
         double median = waits.length == 0 ? 0 : waits[(waits.length - 1) / 2];
--- a/src/main/java/maplerail/core/Admit.java
+++ b/src/main/java/maplerail/core/Admit.java
@@ -44,7 +44,9 @@
             return new Denied(Why.INVALID, 0);
         }
         // A look that is overdue says so too: a batch of arrivals comes before the timers.
-        if (Math.max(behindMs, looking ? loop.nowMs() - lookMs : 0) >= BEHIND_MS) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
+        boolean behind = Math.max(behindMs, looking ? loop.nowMs() - lookMs : 0) >= BEHIND_MS;
+        // The rest of a stream that broke: refused, all that its client has had so far would be lost with it.
+        if (behind && !ask.resumed()) return new Denied(Why.OVERLOAD, CATCH_UP_MS);
         if (open >= budgets.maxOpen()) return new Denied(Why.OVERLOAD, BUSY_MS);
         if (ask.tenant() < budgets.teams().size()) {
             Denied denied = charge(budgets.teams().get(ask.tenant()), accountOf(ask.tenant()));
--- a/src/main/java/maplerail/front/Turnstile.java
+++ b/src/main/java/maplerail/front/Turnstile.java
@@ -19,6 +19,7 @@
     public static final int AT_ONCE = 4;
     private static final Logger LOG = LoggerFactory.getLogger(Turnstile.class);
     private static final double PAUSE_MS = 1;
+    private static final double LATE_MS = 60; // of a turn, from which the loop has enough to do
 
     private final ChannelListener<StreamConnection> next;
     private final Loop loop;
@@ -39,12 +40,17 @@
         } catch (IOException e) {
             LOG.warn("a connection could not be taken: {}", e.getMessage());
         }
-        if (!turning) turn();
+        if (!turning) turn(AT_ONCE);
     }
 
-    private void turn() {
-        for (int i = 0; i < AT_ONCE && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
+    /**
+     * Guards against a crowd before a program that runs its code for the first time and is behind already: let in
+     * to be refused, each client comes again at once and costs as much as if it had been served.
+     */
+    private void turn(int most) {
+        for (int i = 0; i < most && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
         turning = !waiting.isEmpty();
-        if (turning) loop.at(loop.nowMs() + PAUSE_MS, this::turn);
+        double due = loop.nowMs() + PAUSE_MS;
+        if (turning) loop.at(due, () -> turn(loop.nowMs() - due < LATE_MS ? AT_ONCE : 1));
     }
 }
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -823,6 +823,22 @@
         assertTrue(node.of(Refuse.class).size() > 5);
     }
 
+    /** Refused, what was served of it before the break would be lost with it. */
+    @Test
+    void theRestOfAStreamThatBrokeIsLetInAllTheSame() {
+        Node node = small();
+        for (long id = 1; id <= 12; id++, node.now += 100) {
+            node.arrive(id, id, 0, 1_000, 5_000);
+            node.end(id, 0, Outcome.READ, 10, 0, false);
+            node.on(new Router.FirstToken(id, 1, 0, 2_000));
+            node.end(id, 1, Outcome.SERVED);
+        }
+        node.arrive(13, 13, 0, 1_000, 5_000);
+        assertNull(node.sent(), "a jam");
+        node.on(new Arrival(14, 0, 0, 14, 1_000, 0, 0, 5_000, 200, 0, true));
+        assertNotNull(node.sent());
+    }
+
     /** Found on a drawn day with slow boxes: the waits of a jam were believed for most of a minute after its end. */
     @Test
     void admissionOpensAgainWhenAJamIsNoLongerSeen() {
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -136,8 +136,12 @@
     }
 
     private Ticket take(String id, Router.Action... actions) {
+        return take(id, false, actions);
+    }
+
+    private Ticket take(String id, boolean again, Router.Action... actions) {
         next.addAll(List.of(actions));
-        return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, false, 10, null), new Caller() {
+        return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, again, 10, null), new Caller() {
             @Override
             public boolean event(byte[] event) {
                 caller.add("event");
@@ -323,6 +327,9 @@
         loop.now += 200;
         take("b");
         assertThat(caller).containsExactly("refuse OVERLOAD 500");
+        take("c", true, send(WRITER));
+        assertThat(caller).as("the rest of a stream that broke").hasSize(1);
+        assertThat(out).hasSize(2);
     }
 
     /** A read that was cut off may have ended just then, or end later all the same: its state would stay pinned. */
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -4,14 +4,17 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import maplerail.core.Loop;
 import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -108,6 +111,45 @@
         }
     }
 
+    /** After a restart a crowd met a program that ran all its code for the first time, and was refused by the dozen. */
+    @Test
+    void aLoopThatIsLateLetsInOneAtATime() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try {
+            double[] now = {0};
+            ArrayDeque<Runnable> due = new ArrayDeque<>();
+            Loop loop = new Loop() {
+                @Override
+                public double nowMs() {
+                    return now[0];
+                }
+
+                @Override
+                public Alarm at(double whenMs, Runnable task) {
+                    due.add(task);
+                    return () -> due.remove(task);
+                }
+            };
+            ArrayDeque<StreamConnection> queue = new ArrayDeque<>();
+            for (int i = 0; i < 10; i++) queue.add(worker.createFullDuplexPipeConnection().getLeftSide());
+            AcceptingChannel<?> from = (AcceptingChannel<?>) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {AcceptingChannel.class}, (proxy, method, arguments) -> queue.poll());
+            List<StreamConnection> in = new ArrayList<>();
+            @SuppressWarnings("unchecked")
+            AcceptingChannel<StreamConnection> listening = (AcceptingChannel<StreamConnection>) from;
+            new Turnstile(in::add, loop).handleEvent(listening);
+            assertThat(in).hasSize(Turnstile.AT_ONCE);
+            now[0] += 200;
+            due.poll().run();
+            assertThat(in).as("late").hasSize(Turnstile.AT_ONCE + 1);
+            now[0] += 2;
+            due.poll().run();
+            assertThat(in).as("in time again").hasSize(2 * Turnstile.AT_ONCE + 1);
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
     /** Notes how many came since the loop was last here. */
     private static void step(XnioLoop loop, AtomicInteger came, AtomicInteger most, int before) {
         int now = came.get();
