Streams that can't be finished before the end by force are left to other gateways

A process told to stop was ended by force 3.7 s later with 40 to 73 of them open (drains logged), when the next gateway had been told to stop 0.7 s before: clients that came for the rest met nobody until the first was back 1.7 s later. Now, where clients ask for the rest of a stream, those that still run are broken off over the last 1.3 s, the oldest first, a few at a time (Gateway.drain, Broker.breakOff); what has not begun to stream goes on. The test fails without it.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -43,6 +43,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
     private static final double LOOK_MS = 20;
+    /** After the signal to stop, it is ended by force: the longest deadline, 3 s at most, and this much later. */
+    private static final double FORCE_MS = 700;
+    private static final double MOST_WAIT_MS = 3_000;
+    private static final double LEAVE_MS = 1_300; // before that: from here streams are left to other gateways,
+    private static final int LEAVE_STEPS = 11; // in as many steps,
+    private static final double LEAVE_STEP_MS = 100; // each so long
     private static final int BUFFER = 8 * 1024;
     private static final int MOST_HEAD = 16 * 1024; // bytes of a request's head
     /** Of the descriptors: connections that clients may hold at either front. The rest is for engines. */
@@ -178,9 +184,26 @@
             if (phase != Phase.STARTING && phase != Phase.READY) return;
             lifecycle.move(Phase.DRAINING);
             loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
+            if (config.wire().resume()) loop.at(loop.nowMs() + forceMs() - LEAVE_MS, () -> leaveStreams(LEAVE_STEPS));
         });
     }
 
+    /**
+     * Guards against streams that end with the process: in a rolling restart the next gateway is told to stop by then,
+     * and their clients, who come for the rest, meet nobody. Left a little sooner, they still meet the next one; a few
+     * at a time, as that one may just have started.
+     */
+    private void leaveStreams(int steps) {
+        broker.breakOff(1.0 / steps);
+        if (steps > 1) loop.at(loop.nowMs() + LEAVE_STEP_MS, () -> leaveStreams(steps - 1));
+    }
+
+    private double forceMs() {
+        double longest = config.settings().classes().stream().mapToDouble(Router.RequestClass::deadlineMs).max()
+                .orElse(0);
+        return Math.min(MOST_WAIT_MS, longest) + FORCE_MS;
+    }
+
     private void finish() {
         doors.get(0).closeIdle();
         if (rpc != null) rpc.stopTaking();
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -11,8 +11,12 @@
     private static final int SOCKETS = 1_024; // descriptors, where the configuration states no limit
     private static final int LEAST_SOCKETS = 128;
 
-    /** Figures for the connections; {@code sockets} is the most descriptors that the program may hold. */
-    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets) { }
+    /**
+     * Figures for the connections; {@code sockets} is the most descriptors that the program may hold, {@code resume}
+     * tells that clients ask for the rest of a stream that broke.
+     */
+    public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets,
+            boolean resume) { }
 
     /** Reads the configuration's text; the environment's addresses come first where it has them. */
     public static NodeConfig read(String text, Map<String, String> environment) {
@@ -27,7 +31,8 @@
                 address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"), names,
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
                 new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
-                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root)));
+                        (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root),
+                        settings.at("familyInfo").at("resume").flag()));
     }
 
     private static int sockets(Tree root) {
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -1,5 +1,7 @@
 package maplerail.core;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.core.Caller.Why;
@@ -64,6 +66,20 @@
         send.withdrawUnsent();
     }
 
+    /**
+     * Ends a share of the streams that run, the oldest first, for a program that has no time to finish them: their
+     * clients ask for the rest elsewhere. What has not begun to stream goes on.
+     */
+    public void breakOff(double share) {
+        List<Entry> streams = book.all().stream().filter(e -> e.winner != null && !e.answered)
+                .sorted(Comparator.comparingLong(e -> e.number)).toList();
+        for (Entry entry : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
+            if (!book.answer(entry)) continue;
+            leave(entry);
+            entry.caller.broken();
+        }
+    }
+
     /** Requests that still wait for their final answer. */
     public int unanswered() {
         return book.unanswered();
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -5,6 +5,7 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
@@ -14,6 +15,18 @@
 import org.junit.jupiter.api.Test;
 
 class DrainTest {
+    private static final int MOST_EVENTS = 600_000; // ends a test that would never end
+
+    /** Reads to the end of the next event; false if the connection has ended. */
+    private static boolean heardOne(Socket from) throws IOException {
+        int before = 0;
+        for (int c = from.getInputStream().read(); c >= 0; c = from.getInputStream().read()) {
+            if (c == '\n' && before == '\n') return true;
+            before = c;
+        }
+        return false;
+    }
+
     private static void send(Socket to, String request) throws Exception {
         to.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
     }
@@ -43,6 +56,41 @@
         }
     }
 
+    /** Ended by force with the process, a long stream's client came for the rest when no gateway was left to ask. */
+    @Test
+    void aStreamTooLongToBeFinishedIsLeftToOthersWhereClientsAskForTheRest() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            if (x.method.equals("DELETE")) {
+                x.reply(204, "");
+                return;
+            }
+            x.stream();
+            x.chunk("data: 1\n\n");
+            streams.add(x);
+        }); World world = new World().resume().engine("r", "prefill", reader).engine("w", "decode", writer).start();
+                Socket client = world.connect()) {
+            client.setSoTimeout(20_000);
+            send(client, request("a1", "lookup", "5.0"));
+            StandIn.Exchange stream = take(streams);
+            world.gateway.drain();
+            // The stream goes on for as long as its client hears it: it has not stopped by itself.
+            int events = 0;
+            while (events < MOST_EVENTS && heardOne(client)) {
+                events++;
+                try {
+                    stream.chunk("data: 2\n\n");
+                } catch (IOException e) {
+                    break;
+                }
+            }
+            assertThat(events).isBetween(1, MOST_EVENTS - 1);
+            assertThat(World.readAll(client.getInputStream())).doesNotContain("\r\n0\r\n").doesNotContain("<reset>");
+            world.gateway.join();
+            assertThat(world.gateway.phase()).isEqualTo(Phase.STOPPED);
+        }
+    }
+
     @Test
     void connectionsThatEndedInMidRequestDoNotHoldUpTheExit() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -35,6 +35,7 @@
     private StandIn discovery;
     private long version = 1;
     private int sockets = 1_024;
+    private String settings = SETTINGS;
     public Gateway gateway;
 
     public World() throws IOException {
@@ -59,6 +60,12 @@
         return this;
     }
 
+    /** Clients ask for the rest of a stream that broke. */
+    public World resume() {
+        settings = SETTINGS.replace("\"pinLimitMs\"", "\"resume\":true,\"pinLimitMs\"");
+        return this;
+    }
+
     public World engine(String host, String kind, StandIn at) {
         return engine(host, kind, at, "in_service");
     }
@@ -81,7 +88,7 @@
 
     public String config(String listen) {
         return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + SETTINGS + "}";
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + settings + "}";
     }
 
     public World start() throws Exception {
