Operators' door with figures and drain; an inherited listening socket is served

Answers look at the phase when they are given, not when their request came: those that were open at a drain's start kept their connections. The module tells how many engines it avoids; a few of its lines were drawn together for that.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -559,11 +559,8 @@
     private void write(Request request, Engine not) {
         request.phase = Phase.HOLDING;
         Engine writer = chooseWriter(request, not);
-        if (writer == null || !send(request, writer, false, 0, 0)) {
-            if (request.phase == Phase.HOLDING) wait(request);
-            return;
-        }
-        request.phase = Phase.WRITING;
+        if (writer != null && send(request, writer, false, 0, 0)) request.phase = Phase.WRITING;
+        else if (request.phase == Phase.HOLDING) wait(request);
     }
 
     private Engine chooseWriter(Request request, Engine not) {
@@ -1045,6 +1042,11 @@
                 .ifPresent(a -> charge(a.engine, request.client, OUTPUT_WEIGHT * request.standIn));
     }
 
+    @Override
+    public int avoided() {
+        return (int) engines.values().stream().filter(e -> e.ready && e.ejected).count();
+    }
+
     /** Entries in the tables, for watching that they stay bounded. */
     int held() {
         return requests.size() + sessions.size() + prefixes.size() + heat.size() + engines.size();
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -12,6 +12,11 @@
     /** Tells the module what has happened, in order, and returns what it wants done, in order. */
     List<Action> step(double nowMs, List<? extends Event> events);
 
+    /** Engines that are listed for new work and get none for now, for how they did lately. */
+    default int avoided() {
+        return 0;
+    }
+
     /** What an engine does with a request. */
     enum Role { READ, WRITE, BOTH }
 
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -7,6 +7,7 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -14,6 +15,7 @@
 import java.util.function.Consumer;
 import maplerail.Logic;
 import maplerail.Router;
+import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
@@ -26,8 +28,12 @@
 import maplerail.discovery.PlatformWatch;
 import maplerail.front.Door;
 import maplerail.front.Turnstile;
+import maplerail.front.admin.AdminDoor;
+import maplerail.front.admin.Desk;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Figure;
 import maplerail.net.EngineClient;
 import maplerail.net.Pool;
 import maplerail.net.XnioLoop;
@@ -36,18 +42,22 @@
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.InheritedListener;
 
 /** One real gateway: puts the parts together and takes them from start to exit. */
-public final class Gateway {
+public final class Gateway implements Desk {
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
     private static final double ARRIVING_MS = 600; // after the signal to stop, that connections may arrive for
     // What keeps the draws of the watch and of advice to clients apart from the module's.
     private static final long WATCH_DRAWS = 0x5bd1e995a7c3f1d1L;
     private static final long ADVICE_DRAWS = 0x27d4eb2f165667c5L;
     private static final double LOOK_MS = 20;
+    /** Before the end by force, until when clients may use the connections they have, if another process has the rest. */
+    private static final double KEPT_MS = 1_500;
     /** After the signal to stop, it is ended by force: the longest deadline, 3 s at most, and this much later. */
     private static final double FORCE_MS = 700;
     private static final double MOST_WAIT_MS = 3_000;
@@ -60,10 +70,14 @@
     private static final int CLIENT_PERCENT = 55;
     private static final int RPC_PERCENT = 10;
     private static final int TOOLS_PERCENT = 10; // connections to tool servers
+    private static final double AWAY_MS = 1_000; // after the drain's start, from which idle connections are ended
+    private static final double AWAY_LOOK_MS = 50;
+    private static final double PUBLISH_MS = 100; // between two looks at the engines for the figures
     private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
 
     private final NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
+    private final Metrics metrics = new Metrics();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final XnioWorker worker;
     private final XnioLoop loop;
@@ -78,6 +92,8 @@
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
     private final List<Door> doors = new ArrayList<>();
+    private AdminDoor admin;
+    private volatile boolean told; // a list of engines is known: this process can serve
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
@@ -91,16 +107,18 @@
         int sockets = config.wire().sockets();
         int tooling = on ? sockets * (RPC_PERCENT + TOOLS_PERCENT) / 100 : 0;
         Pool pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(),
-                sockets - OWN_SOCKETS - sockets * CLIENT_PERCENT / 100 - tooling);
+                sockets - OWN_SOCKETS - (config.admin() == null ? 0 : AdminDoor.DESCRIPTORS) - sockets * CLIENT_PERCENT / 100
+                - tooling);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         broker = new Broker(module(settings), settings, new Admit(Budgets.open(config.wire().maxOpen()), loop,
                 new SplittableRandom(settings.seed() ^ ADVICE_DRAWS)), loop,
-                engines, line -> LOG.info("{}", line));
+                engines, line -> LOG.info("{}", line), metrics, config.names().classes());
         front = new PlatformFront(broker, config.names(), lifecycle);
         watch = new PlatformWatch(pool, loop, config.discovery(), config.names(),
                 new SplittableRandom(settings.seed() ^ WATCH_DRAWS), this::hear);
-        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100) : null;
+        tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100,
+                metrics) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle, loop)
                 : null;
         rpcListen = on ? toolsConfig.listen() : null;
@@ -122,6 +140,11 @@
         return rpcServer.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Where operators are answered, if they are. */
+    public InetSocketAddress adminAddress() {
+        return admin.address();
+    }
+
     /** Sessions over HTTP at the second front, and the characters kept for those that come again. */
     public int[] rpcHeld() {
         return rpc.held();
@@ -148,7 +171,9 @@
             watch.start(known);
             if (tools != null) tools.start();
             if (known != null && !known.members().isEmpty()) ready();
+            if (config.admin() != null) publish();
         });
+        if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
         LOG.info("{} listens on {}", config.name(), address());
@@ -166,14 +191,22 @@
         Door door = new Door(http, loop, most);
         doors.add(door);
         through.accept(door);
-        AcceptingChannel<?> listening = worker.createStreamConnectionServer(at,
-                new Turnstile(door, loop),
-                OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
-                        .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
+        OptionMap options = OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
+                .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap();
+        Turnstile turnstile = new Turnstile(door, loop);
+        AcceptingChannel<StreamConnection> listening = config.inherited() && doors.size() == 1
+                ? InheritedListener.serve(worker, inherited(), turnstile, options)
+                : worker.createStreamConnectionServer(at, turnstile, options);
         listening.resumeAccepts();
         return listening;
     }
 
+    /** The clients' listening socket, which whoever started the program keeps, and other processes serve with it. */
+    private static ServerSocketChannel inherited() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel socket) return socket;
+        throw new ConfigException("RELAY_INHERITED_FD: descriptor 0 is no listening socket");
+    }
+
     private void hear(EngineList list) {
         engines.hear(list);
         broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
@@ -181,7 +214,8 @@
         ready();
     }
 
-    private void ready() {
+    private synchronized void ready() {
+        told = true;
         if (lifecycle.phase() == Phase.STARTING) lifecycle.move(Phase.READY);
     }
 
@@ -197,17 +231,58 @@
         });
     }
 
+    /** Guards against a reader that has to wait for the loop: it sees what the loop last put up. */
+    private void publish() {
+        metrics.engines(broker.listed(), broker.avoided());
+        loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
+    }
+
+    @Override
+    public boolean canServe() {
+        return told && phase() != Phase.DRAINING && phase() != Phase.STOPPED;
+    }
+
+    @Override
+    public List<Figure> figures() {
+        return metrics.figures();
+    }
+
+    /** Called from the operators' thread: the phase counts at once, what it brings about follows on the loop. */
+    @Override
+    public synchronized boolean lameDuck(boolean on) {
+        Phase now = phase();
+        if (now == Phase.DRAINING || now == Phase.STOPPED) return false;
+        if (on == (now == Phase.LAME_DUCK)) return true;
+        lifecycle.move(on ? Phase.LAME_DUCK : told ? Phase.READY : Phase.STARTING);
+        LOG.info(on ? "clients are sent away" : "clients may come again");
+        if (on) loop.execute(() -> loop.at(loop.nowMs() + AWAY_MS, this::sendAway));
+        return true;
+    }
+
+    /** Clients leave with their next answer; those that ask nothing any more are let go. */
+    private void sendAway() {
+        if (phase() != Phase.LAME_DUCK) return;
+        doors.forEach(Door::closeIdle);
+        loop.at(loop.nowMs() + AWAY_LOOK_MS, this::sendAway);
+    }
+
     /** The signal to stop: serves what still arrives for a while, finishes what it has taken, then stops. */
     public void drain() {
         loop.execute(() -> {
-            Phase phase = lifecycle.phase();
-            if (phase != Phase.STARTING && phase != Phase.READY) return;
-            lifecycle.move(Phase.DRAINING);
-            loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
+            if (!leave()) return;
+            // Another process has the socket too: what comes now is that one's.
+            if (config.inherited()) IoUtils.safeClose(server);
+            loop.at(loop.nowMs() + (config.inherited() ? forceMs() - KEPT_MS : ARRIVING_MS), this::finish);
             if (config.wire().resume()) loop.at(loop.nowMs() + forceMs() - LEAVE_MS, () -> leaveStreams(LEAVE_STEPS));
         });
     }
 
+    private synchronized boolean leave() {
+        if (phase() == Phase.DRAINING || phase() == Phase.STOPPED) return false;
+        lifecycle.move(Phase.DRAINING);
+        return true;
+    }
+
     /**
      * Guards against streams that end with the process: in a rolling restart the next gateway is told to stop by then,
      * and their clients, who come for the rest, meet nobody. Left a little sooner, they still meet the next one; a few
@@ -240,6 +315,7 @@
     public void stop() {
         loop.execute(() -> {
             IoUtils.safeClose(server, rpcServer);
+            if (admin != null) admin.close();
             doors.forEach(Door::close);
             worker.shutdownNow();
         });
--- a/src/main/java/maplerail/cli/Rehearsal.java
+++ b/src/main/java/maplerail/cli/Rehearsal.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import maplerail.config.NodeConfig;
 import maplerail.core.Lifecycle.Phase;
@@ -20,6 +21,7 @@
 final class Rehearsal {
     private static final String BODY = "{\"stream\":true}";
     private static final int ROUNDS = 5;
+    private static final List<String> CALLS = List.of("GET /_ready", "GET /_vars", "PUT /_lameduck/on", "PUT /_lameduck/off");
 
     private Rehearsal() { }
 
@@ -37,6 +39,7 @@
             String closing = " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: ";
             ask(gateway.address(), "GET /-/ready" + closing + "0\r\n\r\n");
             ask(gateway.address(), "POST /" + closing + "0\r\n\r\n");
+            for (String call : CALLS) ask(gateway.adminAddress(), call + closing + "0\r\n\r\n");
             for (int i = 0; i < ROUNDS; i++) {
                 ask(gateway.address(), "POST /v1/chat/completions" + closing + BODY.length() + "\r\nReq-Id: r" + i
                         + "\r\nReq-Kind: a\r\nReq-Owner: b\r\nReq-Key: 7f\r\nReq-Deadline: 0.5\r\n"
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -13,6 +13,7 @@
 import maplerail.config.ToolsConfig;
 import maplerail.core.Admit;
 import maplerail.core.Broker;
+import maplerail.metrics.Metrics;
 import maplerail.discovery.ConsulWatch;
 import maplerail.net.Pool;
 import maplerail.net.ToolClient;
@@ -35,7 +36,7 @@
     private final Map<String, ToolClient> clients = new TreeMap<>();
 
     ToolServices(ToolsConfig config, XnioLoop loop, io.undertow.connector.ByteBufferPool buffers, long seed,
-            int mostConnections) {
+            int mostConnections, Metrics metrics) {
         this.config = config;
         this.loop = loop;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
@@ -45,7 +46,8 @@
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
             brokers.put(name, new Broker(new Logic(settings), settings, admit, loop, client,
-                    line -> LOG.info("{}: {}", name, line)));
+                    line -> LOG.info("{}: {}", name, line), metrics,
+                    config.contracts().stream().map(contract -> name + "." + contract.name()).toList()));
         }
     }
 
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -4,8 +4,12 @@
 import java.util.Map;
 import maplerail.Router;
 
-/** What one gateway is told at its start. */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, Names names,
+/**
+ * What one gateway is told at its start. {@code admin} is where operators ask, or null; {@code inherited} tells that the
+ * clients' listening socket is there already, as descriptor 0.
+ */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery,
+        InetSocketAddress admin, boolean inherited, Names names,
         Router.Settings settings, EngineList known, Wire wire) {
 
     private static final int SOCKETS = 1_024; // descriptors, where the configuration states no limit
@@ -28,7 +32,8 @@
         EngineList known = root.at("known").isObject() ? EngineList.read(root.at("known"), names) : null;
         return new NodeConfig(root.at("name").text(environment.getOrDefault("RELAY_NAME", "gateway")),
                 address(environment.get("RELAY_LISTEN"), "RELAY_LISTEN", root, "listen"),
-                address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"), names,
+                address(environment.get("RELAY_DISCOVERY"), "RELAY_DISCOVERY", root, "discovery"),
+                admin(environment.get("RELAY_ADMIN"), root), inherited(environment.get("RELAY_INHERITED_FD")), names,
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
                 new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
                         (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root),
@@ -42,6 +47,18 @@
         return sockets;
     }
 
+    private static InetSocketAddress admin(String told, Tree root) {
+        boolean here = told != null && !told.isEmpty() || root.at("admin").present() && !"".equals(root.at("admin").raw());
+        return here ? address(told, "RELAY_ADMIN", root, "admin") : null;
+    }
+
+    /** The machine hands over only descriptor 0 as a channel. */
+    private static boolean inherited(String told) {
+        if (told == null || told.isEmpty()) return false;
+        if (!told.equals("0")) throw new ConfigException("RELAY_INHERITED_FD: not 0: '" + told + "'");
+        return true;
+    }
+
     private static InetSocketAddress address(String told, String variable, Tree root, String key) {
         if (told == null || told.isEmpty()) return Address.need(root.need(key));
         InetSocketAddress address = Address.parse(told);
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Verdict;
 
 /** Last stage: the books. One final answer for each request, and nothing left held for it anywhere. */
 final class Book {
@@ -15,22 +17,25 @@
     private final Admit admit;
     private final double pinLimitMs;
     private final Fleet fleet;
+    private final Metrics metrics;
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
 
-    Book(Engines engines, Loop loop, Admit admit, Fleet fleet, double pinLimitMs) {
+    Book(Engines engines, Loop loop, Admit admit, Fleet fleet, double pinLimitMs, Metrics metrics) {
         this.engines = engines;
         this.loop = loop;
         this.admit = admit;
         this.fleet = fleet;
         this.pinLimitMs = pinLimitMs;
+        this.metrics = metrics;
     }
 
     void open(Entry entry, Runnable closer) {
         entries.put(entry.number, entry);
         closers.put(entry.number, closer);
         unanswered++;
+        metrics.taken();
     }
 
     Entry find(long number) {
@@ -49,11 +54,16 @@
         return entries.size();
     }
 
-    /** True the first time only: whoever gets true gives the final answer, or knows that nobody wants one. */
-    boolean answer(Entry entry) {
+    /**
+     * True the first time only: whoever gets true gives the final answer, or knows that nobody wants one. It is counted
+     * here and nowhere else: once for each request, under the class that it came with.
+     */
+    boolean answer(Entry entry, Verdict verdict) {
         if (entry.answered) return false;
         entry.answered = true;
         unanswered--;
+        metrics.ended();
+        entry.tally.count(verdict);
         if (entry.guard != null) entry.guard.cancel();
         if (entry.admitted) admit.left(entry.ask);
         return true;
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -5,6 +5,8 @@
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.core.Caller.Why;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Verdict;
 
 /**
  * Drives one decision module on one event loop. A request passes the stages take in, admit, route, send,
@@ -22,32 +24,36 @@
     private final Send send;
     private final Relay relay;
     private final Consumer<String> log;
+    private final List<Metrics.Tally> tallies;
 
-    /** Makes a broker round a module that has just come up with these settings. */
+    /** Makes a broker round a module that has just come up with these settings; its answers count under these names. */
     public Broker(Router router, Router.Settings settings, Admit admit, Loop loop, Engines engines,
-            Consumer<String> log) {
+            Consumer<String> log, Metrics metrics, List<String> classes) {
+        tallies = classes.stream().map(metrics::of).toList();
         this.loop = loop;
         this.log = log;
         fleet = new Fleet(settings.kinds());
         this.admit = admit;
-        book = new Book(engines, loop, admit, fleet, settings.rules().pinLimitMs());
+        book = new Book(engines, loop, admit, fleet, settings.rules().pinLimitMs(), metrics);
         takeIn = new TakeIn(loop, book);
         relay = new Relay(book, loop);
-        send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts());
+        send = new Send(engines, loop, fleet, book, relay, settings.limits().maxAttempts(), metrics);
         route = new Route(router, loop, this::perform, send::settle, log);
         send.use(route);
     }
 
     /** Takes a request; its caller gets its one final answer in any case. */
     public Ticket take(Ask ask, Caller caller) {
-        Entry entry = takeIn.take(ask, caller);
+        Metrics.Tally tally = tallies.get(ask.kind());
+        Entry entry = takeIn.take(ask, caller, tally);
         if (entry == null) {
+            tally.count(Verdict.ERRORED);
             caller.fail(Why.DUPLICATE);
             return new Closed();
         }
         Admit.Denied denied = admit.check(ask);
         if (denied != null) {
-            book.answer(entry);
+            book.answer(entry, denied.why() == Why.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
             book.settle(entry);
             caller.refuse(denied.why(), denied.retryAfterMs());
             return new Closed();
@@ -74,12 +80,22 @@
         List<Entry> streams = book.all().stream().filter(e -> e.winner != null && !e.answered)
                 .sorted(Comparator.comparingLong(e -> e.number)).toList();
         for (Entry entry : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
-            if (!book.answer(entry)) continue;
+            if (!book.answer(entry, Verdict.ERRORED)) continue;
             leave(entry);
             entry.caller.broken();
         }
     }
 
+    /** Engines listed that the module passes over for now. */
+    public int avoided() {
+        return route.avoided();
+    }
+
+    /** Engines in the list. */
+    public int listed() {
+        return fleet.size();
+    }
+
     /** Requests that still wait for their final answer. */
     public int unanswered() {
         return book.unanswered();
@@ -109,14 +125,14 @@
 
     private void refuse(Router.Refuse order) {
         Entry entry = book.find(order.id());
-        if (entry == null || !book.answer(entry)) return;
+        if (entry == null || !book.answer(entry, Verdict.DEFERRED)) return;
         book.settle(entry);
         entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
     }
 
     private void fail(long number, Why why) {
         Entry entry = book.find(number);
-        if (entry == null || !book.answer(entry)) return;
+        if (entry == null || !book.answer(entry, Verdict.ERRORED)) return;
         book.settle(entry);
         entry.caller.fail(why);
     }
@@ -153,7 +169,7 @@
 
         @Override
         public void gone() {
-            if (!book.answer(entry)) return;
+            if (!book.answer(entry, Verdict.UNWANTED)) return;
             leave(entry);
         }
 
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -31,6 +31,9 @@
 
     /** What comes back. */
     interface Answer {
+        /** The attempt has gone out whole; told once, and perhaps before {@code send} has returned. */
+        void written();
+
         /** A piece of a streaming answer. */
         void event(byte[] event);
 
--- a/src/main/java/maplerail/core/Lifecycle.java
+++ b/src/main/java/maplerail/core/Lifecycle.java
@@ -6,14 +6,18 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/** The program's phases, from start to exit. Only legal moves are made; listeners hear each one. */
+/**
+ * The program's phases, from start to exit. Only legal moves are made; listeners hear each one. As a lame duck it sends
+ * its clients away and serves what comes all the same; unlike draining, that can be taken back.
+ */
 public final class Lifecycle {
     /** Where the program is. */
-    public enum Phase { STARTING, READY, DRAINING, STOPPED }
+    public enum Phase { STARTING, READY, LAME_DUCK, DRAINING, STOPPED }
 
     private static final Map<Phase, Set<Phase>> LEGAL = Map.of(
-            Phase.STARTING, Set.of(Phase.READY, Phase.DRAINING, Phase.STOPPED),
-            Phase.READY, Set.of(Phase.DRAINING),
+            Phase.STARTING, Set.of(Phase.READY, Phase.LAME_DUCK, Phase.DRAINING, Phase.STOPPED),
+            Phase.READY, Set.of(Phase.LAME_DUCK, Phase.DRAINING),
+            Phase.LAME_DUCK, Set.of(Phase.STARTING, Phase.READY, Phase.DRAINING),
             Phase.DRAINING, Set.of(Phase.STOPPED),
             Phase.STOPPED, Set.of());
 
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import maplerail.Router.Outcome;
+import maplerail.metrics.Metrics.Verdict;
 
 /** Fifth stage: passes the events of the one attempt that became the caller's, as they come. */
 final class Relay {
@@ -29,8 +30,9 @@
     /** Only a stream that came to its end is whole; any other must not look so. */
     void ended(Entry.Try attempt, Outcome outcome) {
         Entry entry = attempt.entry;
-        if (!book.answer(entry)) return;
-        if (outcome == Outcome.SERVED) entry.caller.end();
+        boolean whole = outcome == Outcome.SERVED;
+        if (!book.answer(entry, whole ? Verdict.ANSWERED : Verdict.ERRORED)) return;
+        if (whole) entry.caller.end();
         else entry.caller.broken();
     }
 }
--- a/src/main/java/maplerail/core/Route.java
+++ b/src/main/java/maplerail/core/Route.java
@@ -33,6 +33,10 @@
         }
     }
 
+    int avoided() {
+        return router.avoided();
+    }
+
     /** An event that an action brings about waits until the actions before it are done. */
     void tell(Router.Event event) {
         waiting.add(event);
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -4,6 +4,8 @@
 import java.util.Set;
 import maplerail.Router;
 import maplerail.Router.Outcome;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Verdict;
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class Send {
@@ -15,16 +17,18 @@
     private final Book book;
     private final Relay relay;
     private final int maxAttempts;
+    private final Metrics metrics;
     private final Set<Entry> touched = new LinkedHashSet<>();
     private Route route;
 
-    Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, int maxAttempts) {
+    Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, int maxAttempts, Metrics metrics) {
         this.engines = engines;
         this.loop = loop;
         this.fleet = fleet;
         this.book = book;
         this.relay = relay;
         this.maxAttempts = maxAttempts;
+        this.metrics = metrics;
     }
 
     void use(Route to) {
@@ -44,6 +48,11 @@
         }
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
         attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
+            @Override
+            public void written() {
+                metrics.sent();
+            }
+
             @Override
             public void event(byte[] event) {
                 if (!attempt.ended) heard(attempt, event);
@@ -97,7 +106,7 @@
      */
     private void reject(Entry.Try attempt) {
         Entry entry = attempt.entry;
-        boolean last = book.answer(entry);
+        boolean last = book.answer(entry, Verdict.ERRORED);
         ended(attempt, Outcome.CANCELLED, 0);
         if (!last) return;
         cutAll(entry);
--- a/src/main/java/maplerail/core/TakeIn.java
+++ b/src/main/java/maplerail/core/TakeIn.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import maplerail.metrics.Metrics;
 
 /** First stage: gives each request its number and a page in the book. */
 final class TakeIn {
@@ -16,9 +17,9 @@
     }
 
     /** The page, or null for an id that is open already: two of one id could not be told apart by engines. */
-    Entry take(Ask ask, Caller caller) {
+    Entry take(Ask ask, Caller caller, Metrics.Tally tally) {
         if (open.containsKey(ask.id())) return null;
-        Entry entry = new Entry(++last, ask, caller, loop.nowMs() + ask.budgetMs());
+        Entry entry = new Entry(++last, ask, caller, loop.nowMs() + ask.budgetMs(), tally);
         open.put(ask.id(), entry);
         book.open(entry, () -> open.remove(ask.id()));
         return entry;
--- /dev/null
+++ b/src/main/java/maplerail/front/admin/Desk.java
@@ -0,0 +1,16 @@
+package maplerail.front.admin;
+
+import java.util.List;
+import maplerail.metrics.Metrics.Figure;
+
+/** What operators may ask of the program. Called on the admin door's own thread, and answered without the main loop. */
+public interface Desk {
+    /** True once the program can serve, until it is told to stop. */
+    boolean canServe();
+
+    /** All figures now. */
+    List<Figure> figures();
+
+    /** Sends clients away, or takes that back; false where the program is stopping anyway. */
+    boolean lameDuck(boolean on);
+}
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import maplerail.core.Caller;
 import maplerail.core.Ticket;
 import maplerail.front.Departure;
@@ -20,6 +21,7 @@
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
 
     private final HttpServerExchange exchange;
+    private final BooleanSupplier leaving;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
     private Ticket ticket;
@@ -28,8 +30,10 @@
     private boolean ending;
     private boolean over;
 
-    Answer(HttpServerExchange exchange) {
+    /** The answer of an exchange; its connection ends with it if the program is leaving by then. */
+    Answer(HttpServerExchange exchange, BooleanSupplier leaving) {
         this.exchange = exchange;
+        this.leaving = leaving;
     }
 
     void hold(Ticket held) {
@@ -53,6 +57,7 @@
     public boolean event(byte[] event) {
         if (over) return true;
         if (sink == null) {
+            part();
             exchange.setStatusCode(200);
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
@@ -152,10 +157,16 @@
         }
     }
 
+    /** Guards against a client that goes on with its connection though the program sends its clients away. */
+    private void part() {
+        if (leaving.getAsBoolean()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+    }
+
     void say(int status, String message) {
         if (over) return;
         over = true;
         if (status != 200) LOG.debug("{}: {} {}", exchange.getRequestHeaders().getFirst("Req-Id"), status, message);
+        part();
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender().send("{\"error\":{\"message\":\"" + message + "\"}}\n");
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -41,8 +41,7 @@
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         door.entered(exchange);
-        if (lifecycle.phase() != Phase.READY) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        Answer answer = new Answer(exchange);
+        Answer answer = new Answer(exchange, () -> lifecycle.phase() != Phase.READY);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
--- /dev/null
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -0,0 +1,92 @@
+package maplerail.metrics;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * What the program counts of its work. Written on the loop, read from anywhere: a reader sees each figure as it is, and
+ * waits for nobody. Knows no wire and no wording.
+ */
+public final class Metrics {
+    /** Guards against a table that grows with every name that a configuration ever had. */
+    private static final int MOST_CLASSES = 256;
+    private static final String OTHER = "other"; // that names beyond the table count as
+
+    private final Map<String, Tally> classes = new ConcurrentSkipListMap<>();
+    private final AtomicLong sends = new AtomicLong();
+    private final AtomicLong open = new AtomicLong();
+    private final AtomicLong loaded = new AtomicLong();
+    private final AtomicLong invalid = new AtomicLong();
+    private volatile int listed;
+    private volatile int avoided;
+
+    /** The final answers of one class of requests. */
+    public static final class Tally {
+        private final AtomicLong[] counts = {new AtomicLong(), new AtomicLong(), new AtomicLong()};
+
+        /** Counts a final answer. */
+        public void count(Verdict verdict) {
+            if (verdict != Verdict.UNWANTED) counts[verdict.ordinal()].incrementAndGet();
+        }
+    }
+
+    /** What became of a request; nobody was left to hear of one that is unwanted, and it is not counted. */
+    public enum Verdict { ANSWERED, DEFERRED, ERRORED, UNWANTED }
+
+    /** One figure at one moment; a counter only grows. */
+    public record Figure(String name, long value, boolean counter) { }
+
+    /** The counts of a class by its name; they go on where a class was gone for a while. */
+    public Tally of(String name) {
+        Tally known = classes.get(name);
+        if (known != null) return known;
+        return classes.computeIfAbsent(classes.size() < MOST_CLASSES ? name : OTHER, n -> new Tally());
+    }
+
+    /** An attempt was written whole to its engine. */
+    public void sent() {
+        sends.incrementAndGet();
+    }
+
+    /** A request was taken. */
+    public void taken() {
+        open.incrementAndGet();
+    }
+
+    /** A request has had its final answer, or its client has gone. */
+    public void ended() {
+        open.decrementAndGet();
+    }
+
+    /** A configuration file was read again, and is in force or not. */
+    public void reloaded(boolean accepted) {
+        (accepted ? loaded : invalid).incrementAndGet();
+    }
+
+    /** Engines in the list, and those of them that get nothing now though the list would have it. */
+    public void engines(int inList, int passedOver) {
+        listed = inList;
+        avoided = passedOver;
+    }
+
+    /** All figures now. */
+    public List<Figure> figures() {
+        List<Figure> out = new ArrayList<>();
+        classes.forEach((name, tally) -> {
+            for (int i = 0; i < tally.counts.length; i++) {
+                String verdict = Verdict.values()[i].name().toLowerCase(java.util.Locale.ROOT);
+                out.add(new Figure(verdict + "." + name, tally.counts[i].get(), true));
+            }
+        });
+        out.add(new Figure("sends", sends.get(), true));
+        out.add(new Figure("current", open.get(), false));
+        out.add(new Figure("cluster_size", listed, false));
+        out.add(new Figure("cluster_unhealthy", avoided, false));
+        out.add(new Figure("conf_loaded", loaded.get(), true));
+        out.add(new Figure("conf_invalid", invalid.get(), true));
+        return out;
+    }
+}
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -23,6 +23,7 @@
     private Runnable disconnect;
     private Loop.Alarm limit;
     private boolean wrote;
+    private boolean whole;
     private boolean paused;
     private boolean reading;
     private boolean failing;
@@ -111,6 +112,8 @@
                 wrote = true;
             }
             link.connection.getSinkChannel().suspendWrites();
+            if (!whole) reply.written();
+            whole = true;
         } catch (IOException e) {
             fail();
         }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -104,6 +104,11 @@
             this.answer = answer;
         }
 
+        @Override
+        public void written() {
+            answer.written();
+        }
+
         @Override
         public void head(int status, HeaderMap headers) {
             meaning = Outcomes.of(status, headers);
--- a/src/main/java/maplerail/net/Reply.java
+++ b/src/main/java/maplerail/net/Reply.java
@@ -5,6 +5,9 @@
 
 /** What hears the answer to a {@link Call}: a head, pieces of the body, then one end or failure. */
 public interface Reply {
+    /** The request's last byte has been written. */
+    default void written() { }
+
     /** Status line and headers have come. */
     void head(int status, HeaderMap headers);
 
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -73,6 +73,11 @@
             this.most = most;
         }
 
+        @Override
+        public void written() {
+            answer.written();
+        }
+
         @Override
         public void head(int status, HeaderMap headers) {
             // A tool server has no state to hand over: 202 is no answer that a call could end with.
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -120,7 +120,7 @@
                 wire.add("release");
             }
         };
-        broker = new Broker(router, settings, new Admit(Budgets.open(3), loop, new SplittableRandom(1)), loop, engines, line -> { });
+        broker = new Broker(router, settings, new Admit(Budgets.open(3), loop, new SplittableRandom(1)), loop, engines, line -> { }, new maplerail.metrics.Metrics(), java.util.List.of("a", "b", "c"));
         list(State.READY);
         told.clear();
     }
