What comes while the program leaves has its answer begun before the end by force

Changed: idle connections go 0.6 s after SIGTERM, as in any restart, and Broker.endBy bounds the deadline of what is taken from the signal on, so that the module gives it up in time like any other. The door for operators says yes only once the clients' socket is served. Test: BrokerTest.whatComesBeforeTheEndIsAnsweredByThen.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -56,8 +56,7 @@
     private static final long WATCH_DRAWS = 0x5bd1e995a7c3f1d1L;
     private static final long ADVICE_DRAWS = 0x27d4eb2f165667c5L;
     private static final double LOOK_MS = 20;
-    /** Before the end by force, until when clients may use the connections they have, if another process has the rest. */
-    private static final double KEPT_MS = 1_500;
+    private static final double LAST_MS = 350; // before the end by force, by when what has come since has an answer
     /** After the signal to stop, it is ended by force: the longest deadline, 3 s at most, and this much later. */
     private static final double FORCE_MS = 700;
     private static final double MOST_WAIT_MS = 3_000;
@@ -95,7 +94,8 @@
     private AcceptingChannel<?> rpcServer;
     private final List<Door> doors = new ArrayList<>();
     private AdminDoor admin;
-    private volatile boolean told; // a list of engines is known: this process can serve
+    private volatile boolean told; // a list of engines is known
+    private volatile boolean listening;
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
@@ -183,6 +183,7 @@
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
+        listening = true;
         LOG.info("{} listens on {}", config.name(), address());
         if (rpc != null) LOG.info("tool calls come in at {}", rpcAddress());
     }
@@ -269,7 +270,7 @@
 
     @Override
     public boolean canServe() {
-        return told && phase() != Phase.DRAINING && phase() != Phase.STOPPED;
+        return told && listening && phase() != Phase.DRAINING && phase() != Phase.STOPPED;
     }
 
     @Override
@@ -302,7 +303,9 @@
             if (!leave()) return;
             // Another process has the socket too: what comes now is that one's.
             if (config.inherited()) IoUtils.safeClose(server);
-            loop.at(loop.nowMs() + (config.inherited() ? forceMs() - KEPT_MS : ARRIVING_MS), this::finish);
+            // Guards against a request that comes on a kept connection just before the end, and would be cut off by it.
+            broker.endBy(loop.nowMs() + forceMs() - LAST_MS);
+            loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
             if (config.wire().resume()) loop.at(loop.nowMs() + forceMs() - LEAVE_MS, () -> leaveStreams(LEAVE_STEPS));
         });
     }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -26,6 +26,7 @@
     private final Consumer<String> log;
     private final Metrics metrics;
     private Terms terms;
+    private double latestMs = Double.POSITIVE_INFINITY;
 
     /** Makes a broker round a module that has just come up with these settings; its answers count under these names. */
     public Broker(Router router, Router.Settings settings, Admit admit, Loop loop, Engines engines,
@@ -46,7 +47,7 @@
 
     /** Takes a request; its caller gets its one final answer in any case. */
     public Ticket take(Ask ask, Caller caller) {
-        Entry entry = takeIn.take(ask, caller, terms);
+        Entry entry = takeIn.take(ask, caller, terms, latestMs);
         if (entry == null) {
             terms.tally(ask).count(Verdict.ERRORED);
             caller.fail(Why.DUPLICATE);
@@ -62,7 +63,7 @@
         entry.admitted = true;
         entry.guard = loop.at(entry.deadlineMs + GUARD_MS, () -> overdue(entry));
         route.tell(new Router.Arrival(entry.number, ask.kind(), ask.tenant(), ask.session(), ask.promptTokens(),
-                ask.prefix(), ask.prefixTokens(), ask.budgetMs(), ask.maxOutput(), ask.hintMs(), ask.resumed()));
+                ask.prefix(), ask.prefixTokens(), entry.deadlineMs - loop.nowMs(), ask.maxOutput(), ask.hintMs(), ask.resumed()));
         return new Open(entry);
     }
 
@@ -75,6 +76,11 @@
         route.tell(new Router.Retuned(settings));
     }
 
+    /** What is taken from now on has its answer begun by then, however long its client would wait: the program ends. */
+    public void endBy(double latest) {
+        latestMs = latest;
+    }
+
     /** News of the engines; what has not gone out yet obeys it too. */
     public void members(Router.Members news) {
         fleet.hear(news);
--- a/src/main/java/maplerail/core/TakeIn.java
+++ b/src/main/java/maplerail/core/TakeIn.java
@@ -16,9 +16,9 @@
     }
 
     /** The page, or null for an id that is open already: two of one id could not be told apart by engines. */
-    Entry take(Ask ask, Caller caller, Terms terms) {
+    Entry take(Ask ask, Caller caller, Terms terms, double latestMs) {
         if (open.containsKey(ask.id())) return null;
-        Entry entry = new Entry(++last, ask, caller, loop.nowMs() + ask.budgetMs(), terms);
+        Entry entry = new Entry(++last, ask, caller, Math.min(loop.nowMs() + ask.budgetMs(), latestMs), terms);
         open.put(ask.id(), entry);
         book.open(entry, () -> open.remove(ask.id()));
         return entry;
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -25,6 +25,7 @@
     private static final long WRITER = 2;
 
     private final TestLoop loop = new TestLoop();
+    private final maplerail.metrics.Metrics metrics = new maplerail.metrics.Metrics();
     private final List<Router.Event> told = new ArrayList<>();
     private final List<Router.Action> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
@@ -120,7 +121,7 @@
                 wire.add("release");
             }
         };
-        broker = new Broker(router, settings, new Admit(Budgets.open(3), loop, new SplittableRandom(1)), loop, engines, line -> { }, new maplerail.metrics.Metrics(), java.util.List.of("a", "b", "c"));
+        broker = new Broker(router, settings, new Admit(Budgets.open(3), loop, new SplittableRandom(1)), loop, engines, line -> { }, metrics, List.of("a", "b", "c"));
         list(State.READY);
         told.clear();
     }
@@ -136,6 +137,38 @@
         broker.members(new Router.Members(ListKind.CHANGES, 2, List.of()));
     }
 
+    /** Once for each final answer, whoever gives it and however often it is tried; nothing for a client that has gone. */
+    @Test
+    void eachAnswerCountsOnceUnderItsClass() {
+        take("served", send(READER));
+        next.add(send(WRITER));
+        out.get(0).answer.written();
+        out.get(0).answer.ended(Outcome.READ, 7);
+        out.get(1).answer.written();
+        out.get(1).answer.event(new byte[1]);
+        assertThat(counts()).containsEntry("current", 1L).containsEntry("answered.a", 0L);
+        out.get(1).answer.ended(Outcome.SERVED, 0);
+        take("broken", new Router.Send(2, WRITER, 0));
+        out.get(2).answer.event(new byte[1]);
+        out.get(2).answer.ended(Outcome.RESET, 0);
+        take("refused", new Refuse(3, 0));
+        take("failed", new Router.Fail(4));
+        Ticket gone = take("gone", new Router.Send(5, READER, 0));
+        take("gone"); // the same id while it is open
+        gone.gone();
+        gone.gone();
+        out.get(3).answer.ended(Outcome.RESET, 0);
+        loop.until(30_000);
+        assertThat(counts()).containsEntry("answered.a", 1L).containsEntry("deferred.a", 1L).containsEntry("errored.a", 3L)
+                .containsEntry("sends", 2L).containsEntry("current", 0L);
+    }
+
+    private java.util.Map<String, Long> counts() {
+        java.util.Map<String, Long> all = new java.util.TreeMap<>();
+        metrics.figures().forEach(figure -> all.put(figure.name(), figure.value()));
+        return all;
+    }
+
     private Ticket take(String id, Router.Action... actions) {
         return take(id, false, actions);
     }
@@ -179,6 +212,16 @@
         return told.stream().filter(e -> e instanceof Ended).map(e -> ((Ended) e).outcome()).toList();
     }
 
+    /** Left with its client's own time, what came just before the program's end was cut off by it. */
+    @Test
+    void whatComesBeforeTheEndIsAnsweredByThen() {
+        broker.endBy(loop.nowMs() + 900);
+        take("a", send(READER));
+        assertThat(((Router.Arrival) told.get(0)).budgetMs()).isEqualTo(900);
+        loop.until(loop.nowMs() + 1_000);
+        assertThat(caller).containsExactly("fail DEADLINE");
+    }
+
     @Test
     void aRequestIsReadWrittenAndAnsweredOnce() {
         take("a", send(READER));
