--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -228,6 +228,7 @@
             if (event instanceof Members members) onMembers(members);
             if (event instanceof Abandoned gone) close(requests.get(gone.id()));
             if (event instanceof Retuned news) settings = news.settings();
+            if (event instanceof Held held) onHeld(held);
         }
         return actions;
     }
@@ -324,10 +325,8 @@
     private void onTimer(long token) {
         Alarm alarm = Alarm.values()[(int) (token & 15)];
         Request request = requests.get(token >>> 12);
-        if (alarm == Alarm.ASK) {
-            askPending = false;
-            actions.add(new Subscribe());
-        }
+        askPending &= alarm != Alarm.ASK;
+        if (alarm == Alarm.ASK) actions.add(new Subscribe());
         if (request == null) return;
         if (alarm == Alarm.DEADLINE) giveUp(request);
         if (alarm == Alarm.LOOK) look(request);
@@ -335,6 +334,11 @@
         if (alarm == Alarm.OVERDUE) overdue(request, (int) (token >>> 4 & 255));
     }
 
+    private void onHeld(Held h) {
+        Engine engine = engines.get(h.engine());
+        if (engine != null) put(h.session() ? sessions : prefixes, h.key(), engine, h.tokens(), h.atMs());
+    }
+
     private Attempt attemptOf(long id, int number) {
         Request request = requests.get(id);
         if (request == null || number >= request.attempts.size()) return null;
@@ -430,16 +434,14 @@
      */
     private Engine spill(Request request, Engine chosen, List<Engine> able) {
         if (!strained(request, chosen)) return chosen;
-        double here = expectedMs(request, chosen);
-        boolean slow = relativePace(chosen) >= REMARKABLE;
+        double limit = expectedMs(request, chosen) / (relativePace(chosen) >= REMARKABLE ? 1 : 2);
         Engine other = least(able, e -> expectedMs(request, e), random.nextLong());
-        return expectedMs(request, other) < (slow ? here : here / 2) ? other : chosen;
+        return expectedMs(request, other) < limit ? other : chosen;
     }
 
     /** Slow, or expected to use up the aim. */
-    private boolean strained(Request request, Engine reader) {
-        return relativePace(reader) >= REMARKABLE
-                || expectedMs(request, reader) > SPILL * (request.aimMs - now);
+    private boolean strained(Request request, Engine at) {
+        return relativePace(at) >= REMARKABLE || expectedMs(request, at) > SPILL * (request.aimMs - now);
     }
 
     private double expectedMs(Request request, Engine reader) {
@@ -522,27 +524,25 @@
     }
 
     private void learn(Request request, Engine reader) {
-        put(sessions, request.asked.session(), reader, request.asked.promptTokens());
-        put(prefixes, request.asked.prefix(), reader, request.asked.prefixTokens());
+        put(sessions, request.asked.session(), reader, request.asked.promptTokens(), now);
+        put(prefixes, request.asked.prefix(), reader, request.asked.prefixTokens(), now);
     }
 
-    private void put(Map<Long, ArrayDeque<Holding>> table, long key, Engine engine, double tokens) {
+    private void put(Map<Long, ArrayDeque<Holding>> table, long key, Engine engine, double tokens,
+            double atMs) {
         if (key == 0 || !(tokens > 0)) return;
         ArrayDeque<Holding> holdings = Objects.requireNonNullElseGet(table.remove(key), ArrayDeque::new);
         table.put(key, holdings);
         holdings.removeIf(h -> h.engine() == engine || h.atMs() <= now - ENTRY_AGE);
-        holdings.addLast(new Holding(engine, tokens, now));
+        holdings.addLast(new Holding(engine, tokens, atMs));
         if (holdings.size() > MAX_HOLDERS) holdings.removeFirst();
         trim(table, h -> h.isEmpty() || h.peekLast().atMs() <= now - ENTRY_AGE);
     }
 
     private void drop(Request request, Engine engine) {
-        drop(sessions.get(request.asked.session()), engine);
-        drop(prefixes.get(request.asked.prefix()), engine);
-    }
-
-    private static void drop(ArrayDeque<Holding> holdings, Engine engine) {
-        if (holdings != null) holdings.removeIf(h -> h.engine() == engine);
+        var session = sessions.getOrDefault(request.asked.session(), new ArrayDeque<>());
+        var prefix = prefixes.getOrDefault(request.asked.prefix(), new ArrayDeque<>());
+        List.of(session, prefix).forEach(held -> held.removeIf(h -> h.engine() == engine));
     }
 
     // ---- Writer: lowest projected memory, chosen when the read has ended ----
@@ -632,7 +632,6 @@
                 (attempt.read ? reads : firstTokens).add(attempt.request.kind.aimMs());
             }
             case ERROR, RESET, UNREACHABLE, TIMEOUT -> bad(engine, attempt);
-            default -> { }
         }
     }
 
@@ -696,10 +695,9 @@
     private void good(Engine engine) {
         engine.heardMs = now;
         engine.failures.add(0);
-        if (engine.ejected && now >= engine.ejectedUntil && ++engine.goodTrials >= HALF_OPEN_STEPS) {
-            engine.ejected = false;
-            engine.ejections = 0;
-        }
+        if (!engine.ejected || now < engine.ejectedUntil || ++engine.goodTrials < HALF_OPEN_STEPS) return;
+        engine.ejected = false;
+        engine.ejections = 0;
     }
 
     private void bad(Engine engine, Attempt attempt) {
@@ -854,10 +852,9 @@
         if (unsafe && attempt == request.mayHaveRun) {
             // It may have begun to answer and can go nowhere else: calling it off in time could only lose it.
             attempt.late = true;
-            if (!attempt.read && now < request.aimMs) {
-                setTimer(request.asked.id(), number, Alarm.OVERDUE, request.aimMs);
-            }
-            if (attempt.read || now < request.aimMs) return;
+            boolean early = now < request.aimMs;
+            if (early && !attempt.read) setTimer(request.asked.id(), number, Alarm.OVERDUE, request.aimMs);
+            if (early || attempt.read) return;
         }
         // Where the whole role is behind, a copy only adds to it.
         double behind = pooled(attempt.read ? reads : firstTokens);
@@ -915,10 +912,8 @@
 
     /** The state has waited as long as the rule allows: let it go and end the request. */
     private void pinned(Request request) {
-        if (request.held && request.out == 0 && request.phase != Phase.DONE
-                && now >= request.heldMs + settings.rules().pinLimitMs() - margin()) {
-            giveUp(request);
-        }
+        boolean waits = request.held && request.out == 0;
+        if (waits && now >= request.heldMs + settings.rules().pinLimitMs() - margin()) giveUp(request);
     }
 
     private double margin() {
@@ -1014,10 +1009,9 @@
     }
 
     private void close(Request request) {
-        if (request != null && request.phase != Phase.DONE) {
-            request.phase = Phase.DONE;
-            cleanUp(request);
-        }
+        if (request == null || request.phase == Phase.DONE) return;
+        request.phase = Phase.DONE;
+        cleanUp(request);
     }
 
     /** A release passes over what an attempt still waits for, so each that ends later brings another. */
@@ -1045,6 +1039,14 @@
         return (int) engines.values().stream().filter(e -> e.ready && e.ejected).count();
     }
 
+    @Override
+    public List<Held> learned() {
+        List<Held> to = new ArrayList<>();
+        sessions.forEach((k, v) -> v.forEach(h -> to.add(new Held(true, k, h.engine.id, h.tokens, h.atMs))));
+        prefixes.forEach((k, v) -> v.forEach(h -> to.add(new Held(false, k, h.engine.id, h.tokens, h.atMs))));
+        return to;
+    }
+
     /** Entries in the tables, for watching that they stay bounded. */
     int held() {
         return requests.size() + sessions.size() + prefixes.size() + heat.size() + engines.size();
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -17,6 +17,11 @@
         return 0;
     }
 
+    /** What is held to be kept at engines, for a module that serves here next. */
+    default List<Held> learned() {
+        return List.of();
+    }
+
     /** What an engine does with a request. */
     enum Role { READ, WRITE, BOTH }
 
@@ -53,7 +58,7 @@
 
     /** Something that happened. */
     sealed interface Event permits Members, Arrival, FirstToken, Ended, Abandoned, Timer,
-            Retuned { }
+            Retuned, Held { }
 
     /** News of which engines there are. */
     record Members(ListKind kind, long version, List<Member> members) implements Event { }
@@ -79,6 +84,9 @@
     /** Other settings hold for what arrives from now on; what was learned stays, and open requests keep theirs. */
     record Retuned(Settings settings) implements Event { }
 
+    /** Another module, which served here before, holds a session's or a shared beginning to be kept at an engine. */
+    record Held(boolean session, long key, long engine, double tokens, double atMs) implements Event { }
+
     /** Something to do. */
     sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log { }
 
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -32,6 +33,8 @@
 import maplerail.front.admin.Desk;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.front.platform.PlatformFront;
+import maplerail.handover.Handover;
+import maplerail.handover.Notes;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Figure;
 import maplerail.net.EngineClient;
@@ -71,12 +74,15 @@
     private static final int TOOLS_PERCENT = 10; // connections to tool servers
     private static final double AWAY_MS = 1_000; // after the drain's start, from which idle connections are ended
     private static final double AWAY_LOOK_MS = 50;
+    private static final double TAKE_OVER_MS = 20_000; // after a start, for which another may leave notes
+    private static final double TAKE_OVER_LOOK_MS = 50;
     private static final double PUBLISH_MS = 100; // between two looks at the engines for the figures
     private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
 
     private volatile NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
+    private final Handover handover;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final XnioWorker worker;
     private final XnioLoop loop;
@@ -95,11 +101,17 @@
     private final List<Door> doors = new ArrayList<>();
     private AdminDoor admin;
     private volatile boolean told; // a list of engines is known
-    private volatile boolean listening;
+    private volatile boolean serving;
 
     /** Makes a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
     public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
+        this(config, toolsConfig, null);
+    }
+
+    /** The same with a folder for what a process hands to the next, or null for none. */
+    public Gateway(NodeConfig config, ToolsConfig toolsConfig, Path handovers) throws IOException {
         this.config = config;
+        handover = handovers == null ? null : new Handover(handovers, ProcessHandle.current().pid());
         worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.TCP_NODELAY, true)
@@ -179,11 +191,12 @@
             if (tools != null) tools.start();
             if (known != null && !known.members().isEmpty()) ready();
             if (config.admin() != null) publish();
+            if (handover != null) takeOver(loop.nowMs() + TAKE_OVER_MS);
         });
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
-        listening = true;
+        serving = true;
         LOG.info("{} listens on {}", config.name(), address());
         if (rpc != null) LOG.info("tool calls come in at {}", rpcAddress());
     }
@@ -262,15 +275,42 @@
         metrics.reloaded(false);
     }
 
+    /** What this process knows is for the one that has the same listening socket and serves on. */
+    private void handOver() {
+        if (handover == null) return;
+        Notes notes = new Notes(loop.nowMs(), broker.learned());
+        worker.execute(() -> handover.leave(notes.text()));
+    }
+
+    /** Looks for a while for what a process that leaves has left: it does so when it hears that this one can serve. */
+    private void takeOver(double untilMs) {
+        worker.execute(() -> {
+            // Guards against a process that leaves soon after its start and takes what it has just left itself.
+            if (leaving()) return;
+            String text = handover.take();
+            Notes notes = text == null ? null : Notes.read(text, loop.nowMs());
+            if (notes != null) {
+                LOG.info("{} places where prompts are kept were handed over", notes.held().size());
+                loop.execute(() -> broker.learn(notes.held()));
+            } else if (loop.nowMs() < untilMs) {
+                loop.at(loop.nowMs() + TAKE_OVER_LOOK_MS, () -> takeOver(untilMs));
+            }
+        });
+    }
+
     /** Guards against a reader that has to wait for the loop: it sees what the loop last put up. */
     private void publish() {
         metrics.engines(broker.listed(), broker.avoided());
         loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
     }
 
+    private boolean leaving() {
+        return phase() == Phase.DRAINING || phase() == Phase.STOPPED;
+    }
+
     @Override
     public boolean canServe() {
-        return told && listening && phase() != Phase.DRAINING && phase() != Phase.STOPPED;
+        return told && serving && !leaving();
     }
 
     @Override
@@ -281,9 +321,8 @@
     /** Called from the operators' thread: the phase counts at once, what it brings about follows on the loop. */
     @Override
     public synchronized boolean lameDuck(boolean on) {
-        Phase now = phase();
-        if (now == Phase.DRAINING || now == Phase.STOPPED) return false;
-        if (on == (now == Phase.LAME_DUCK)) return true;
+        if (leaving()) return false;
+        if (on == (phase() == Phase.LAME_DUCK)) return true;
         lifecycle.move(on ? Phase.LAME_DUCK : told ? Phase.READY : Phase.STARTING);
         LOG.info(on ? "clients are sent away" : "clients may come again");
         if (on) loop.execute(() -> loop.at(loop.nowMs() + AWAY_MS, this::sendAway));
@@ -304,6 +343,7 @@
             // Another process has the socket too: what comes now is that one's.
             if (config.inherited()) IoUtils.safeClose(server);
             // Guards against a request that comes on a kept connection just before the end, and would be cut off by it.
+            handOver();
             broker.endBy(loop.nowMs() + forceMs() - LAST_MS);
             loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
             if (config.wire().resume()) loop.at(loop.nowMs() + forceMs() - LEAVE_MS, () -> leaveStreams(LEAVE_STEPS));
@@ -311,7 +351,7 @@
     }
 
     private synchronized boolean leave() {
-        if (phase() == Phase.DRAINING || phase() == Phase.STOPPED) return false;
+        if (leaving()) return false;
         lifecycle.move(Phase.DRAINING);
         return true;
     }
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -144,7 +144,8 @@
             out.println("maplerail: the configuration of " + config.name() + " can be used");
             return 0;
         }
-        Gateway gateway = new Gateway(config, tools);
+        String shared = config.inherited() ? environment.get("TMPDIR") : null;
+        Gateway gateway = new Gateway(config, tools, shared == null || shared.isEmpty() ? null : Path.of(shared));
         Hangup.then(new Reloading(gateway, file, text, toolsFile, environment)::now);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateway.drain();
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -81,6 +81,16 @@
         latestMs = latest;
     }
 
+    /** What the module knows that one which serves here next could use. */
+    public List<Router.Held> learned() {
+        return route.learned();
+    }
+
+    /** What one that served here before knew. */
+    public void learn(List<Router.Held> known) {
+        known.forEach(route::tell);
+    }
+
     /** News of the engines; what has not gone out yet obeys it too. */
     public void members(Router.Members news) {
         fleet.hear(news);
--- a/src/main/java/maplerail/core/DecisionLog.java
+++ b/src/main/java/maplerail/core/DecisionLog.java
@@ -34,6 +34,11 @@
         return router.avoided();
     }
 
+    @Override
+    public List<Held> learned() {
+        return router.learned();
+    }
+
     private void heard(double now, Event event) {
         if (event instanceof Arrival a) {
             write(now, "arrival id=%d kind=%d tenant=%d session=%x prompt=%.0f prefix=%x shared=%.0f budget=%.0f again=%b",
--- a/src/main/java/maplerail/core/Route.java
+++ b/src/main/java/maplerail/core/Route.java
@@ -37,6 +37,10 @@
         return router.avoided();
     }
 
+    List<Router.Held> learned() {
+        return router.learned();
+    }
+
     /** An event that an action brings about waits until the actions before it are done. */
     void tell(Router.Event event) {
         waiting.add(event);
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -34,6 +34,36 @@
         return new Node().start(reader(1), reader(2), reader(3), writer(11), writer(12));
     }
 
+    // ---- What is handed over ----
+
+    /** Sent to whichever reader its hash says, the rest of a stream that moved was read anew from its beginning. */
+    @Test
+    void whatTheModuleBeforeKnewOfPromptsIsUsed() {
+        for (long session = 1; session <= 20; session++) {
+            Node before = small();
+            before.arrive(1, session, 0, 4_000, 5_000);
+            long reader = before.sent().engine();
+            before.end(1, 0, Outcome.READ);
+            Node next = new Node();
+            next.seed = session + 100;
+            next.start(reader(1), reader(2), reader(3), writer(11), writer(12));
+            before.logic().learned().forEach(next::on);
+            next.arrive(7, session, 0, 4_200, 5_000);
+            assertEquals(reader, next.sent().engine());
+            assertEquals(before.logic().learned(), before.logic().learned().stream().filter(h -> h.engine() == reader).toList());
+        }
+    }
+
+    @Test
+    void whatWasKeptAtAnEngineThatLeftIsForgotten() {
+        Node node = small();
+        node.on(new Router.Held(true, 5, 99, 4_000, node.now));
+        node.on(new Router.Held(true, 5, 2, 4_000, node.now - 60_000));
+        assertTrue(node.logic().learned().stream().noneMatch(h -> h.engine() == 99));
+        node.arrive(1, 5, 0, 4_000, 5_000);
+        assertTrue(node.sent().engine() < 10);
+    }
+
     // ---- The ordinary path ----
 
     @Test
--- a/src/test/java/maplerail/Node.java
+++ b/src/test/java/maplerail/Node.java
@@ -137,6 +137,10 @@
         end(id, 1, Outcome.SERVED);
     }
 
+    Logic logic() {
+        return logic;
+    }
+
     /** Entries in the module's tables. */
     int tableSizes() {
         return logic.held();
--- /dev/null
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -0,0 +1,235 @@
+package maplerail.cli;
+
+import static maplerail.support.World.await;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import maplerail.support.StandIn;
+import maplerail.support.World;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged program, started beside itself on one listening socket that whoever starts it keeps. */
+class UpgradeIT {
+    /** Opens the socket, says its port, and starts each line that it is told with the socket as descriptor 0. */
+    private static final String PLATFORM = """
+            use Socket; $^F = 50; $| = 1; $SIG{CHLD} = 'IGNORE';
+            socket(S, PF_INET, SOCK_STREAM, 0) and bind(S, sockaddr_in(0, inet_aton('127.0.0.1'))) and listen(S, 128) or die;
+            print +(sockaddr_in(getsockname(S)))[0], "\\n";
+            while (my $line = <STDIN>) {
+              my $pid = fork();
+              if (!$pid) { open(STDIN, '<&S'); exec('/bin/sh', '-c', $line); }
+              push @started, $pid; print "$pid\\n";
+            }
+            kill 9, @started;
+            """;
+
+    @TempDir
+    Path folder;
+    private Process platform;
+    private BufferedReader said;
+    private int port;
+    private final BlockingQueue<StandIn.Exchange> held = World.queue();
+    private StandIn reader;
+    private StandIn writer;
+    private World world;
+
+    @BeforeEach
+    void open() throws Exception {
+        platform = new ProcessBuilder("perl", "-e", PLATFORM).redirectError(folder.resolve("platform").toFile()).start();
+        said = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.UTF_8));
+        port = Integer.parseInt(said.readLine());
+        reader = World.reader();
+        writer = new StandIn(x -> {
+            if (x.method.equals("DELETE")) {
+                x.reply(204, "");
+                return;
+            }
+            x.stream();
+            x.chunk("data: 1\n\n");
+            if (x.headers.get("req-id").startsWith("held")) {
+                held.add(x);
+                return;
+            }
+            x.chunk("data: [DONE]\n\n");
+            x.last();
+        });
+        world = new World().admin().engine("r", "prefill", reader).engine("w", "decode", writer);
+        Files.writeString(folder.resolve("good"), world.config("127.0.0.1:1"));
+        Files.writeString(folder.resolve("bad"), "{}");
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        platform.getOutputStream().close();
+        platform.waitFor();
+        reader.close();
+        writer.close();
+        world.close();
+    }
+
+    /** One process beside those that are there; its log has its name. */
+    private long start(String name, String config) throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
+        platform.getOutputStream().write(("export RELAY_INHERITED_FD=0 TMPDIR=" + folder + " RELAY_CONFIG="
+                + folder.resolve(config) + "; " + run + " 2>" + folder.resolve(name) + "\n").getBytes(StandardCharsets.UTF_8));
+        platform.getOutputStream().flush();
+        return Long.parseLong(said.readLine());
+    }
+
+    private String log(String name) {
+        try {
+            return Files.readString(folder.resolve(name));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private void awaitReady(String name) throws Exception {
+        Pattern at = Pattern.compile("operators are answered at \\S*:(\\d+)\\s");
+        await("a door", () -> at.matcher(log(name)).find());
+        Matcher door = at.matcher(log(name));
+        assertThat(door.find()).isTrue();
+        await("ready", () -> say(Integer.parseInt(door.group(1)), "GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 200 "));
+    }
+
+    private static String say(int port, String text) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return World.readAll(socket.getInputStream());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void signal(String name, long process) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-" + name, "" + process).start().waitFor()).isZero();
+    }
+
+    private static boolean alive(long process) {
+        return ProcessHandle.of(process).map(ProcessHandle::isAlive).orElse(false);
+    }
+
+    /** A client that keeps its connection for as long as it may, and counts what became of each request. */
+    private final class Client extends Thread {
+        private final AtomicBoolean on = new AtomicBoolean(true);
+        private final AtomicInteger served = new AtomicInteger();
+        private final AtomicInteger atTheDoor = new AtomicInteger();
+        private final List<String> odd = new ArrayList<>();
+        private final String name;
+
+        Client(String name) {
+            this.name = name;
+            setDaemon(true);
+        }
+
+        @Override
+        public void run() {
+            int number = 0;
+            while (on.get()) {
+                try (Socket socket = new Socket("127.0.0.1", port)) {
+                    socket.setSoTimeout(20_000);
+                    boolean keep = true;
+                    while (keep && on.get()) {
+                        OutputStream out = socket.getOutputStream();
+                        out.write(World.request(name + number++, number % 3 == 0 ? "repair-order" : "lookup", "5.0")
+                                .getBytes(StandardCharsets.UTF_8));
+                        String answer = answer(socket);
+                        keep = answer.endsWith("\r\n0\r\n\r\n") && !answer.contains("Connection: close");
+                        if (answer.contains("[DONE]") && answer.endsWith("\r\n0\r\n\r\n")) served.incrementAndGet();
+                        else if (answer.isEmpty() || answer.equals("<reset>")) atTheDoor.incrementAndGet();
+                        else odd.add(answer);
+                    }
+                } catch (IOException e) {
+                    atTheDoor.incrementAndGet();
+                }
+            }
+        }
+
+        /** To the last chunk, or the connection's end. */
+        private String answer(Socket from) {
+            StringBuilder text = new StringBuilder();
+            try {
+                for (int c = from.getInputStream().read(); c >= 0; c = from.getInputStream().read()) {
+                    text.append((char) c);
+                    if (text.length() >= 7 && text.substring(text.length() - 7).equals("\r\n0\r\n\r\n")) break;
+                }
+            } catch (IOException e) {
+                text.append("<reset>");
+            }
+            return text.toString();
+        }
+    }
+
+    @Test
+    void oneAfterTheOtherServesOnAndNoRequestIsLost() throws Exception {
+        long first = start("a", "good");
+        awaitReady("a");
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) clients.add(new Client("c" + i + "-"));
+        clients.forEach(Thread::start);
+        try (Socket slow = new Socket("127.0.0.1", port)) {
+            slow.getOutputStream().write(World.request("held1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+            StandIn.Exchange stream = World.take(held);
+            long second = start("b", "good");
+            awaitReady("b");
+            signal("TERM", first);
+            // What the first has taken it finishes, and ends: the socket is the second's as before.
+            stream.chunk("data: [DONE]\n\n");
+            stream.last();
+            await("the first has gone", () -> !alive(first));
+            assertThat(World.readAll(slow.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+            await("handed over", () -> log("b").contains("were handed over"));
+            int before = clients.stream().mapToInt(c -> c.served.get()).sum();
+            await("served on", () -> clients.stream().mapToInt(c -> c.served.get()).sum() > before + 50);
+            // A second upgrade follows the first.
+            start("c", "good");
+            awaitReady("c");
+            signal("TERM", second);
+            await("the second has gone", () -> !alive(second));
+        }
+        int before = clients.stream().mapToInt(c -> c.served.get()).sum();
+        await("served on", () -> clients.stream().mapToInt(c -> c.served.get()).sum() > before + 50);
+        for (Client client : clients) client.on.set(false);
+        for (Client client : clients) client.join(20_000);
+        assertThat(clients).allSatisfy(client -> assertThat(client.odd).isEmpty());
+        // Between requests a connection may be ended just as one comes; that is seldom, and harmless.
+        assertThat(clients.stream().mapToInt(c -> c.atTheDoor.get()).sum()).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void oneThatCannotStartOrIsKilledLeavesTheOtherServing() throws Exception {
+        long first = start("a", "good");
+        awaitReady("a");
+        long broken = start("x", "bad");
+        await("refused", () -> !alive(broken));
+        assertThat(log("x")).contains("config.settings: missing");
+        assertThat(say(port, request("r1"))).contains("[DONE]");
+        start("b", "good");
+        awaitReady("b");
+        signal("KILL", first);
+        await("killed", () -> !alive(first));
+        for (int i = 0; i < 5; i++) assertThat(say(port, request("k" + i))).contains("[DONE]");
+    }
+
+    private static String request(String id) {
+        return World.request(id, "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/maplerail/handover/HandoverTest.java
@@ -0,0 +1,81 @@
+package maplerail.handover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import maplerail.Router.Held;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HandoverTest {
+    private static final double NOW = 1_796_155_158_000.0;
+    private static final Notes NOTES = new Notes(NOW, List.of(new Held(true, -7, 0xa89b790ba0b6L, 2_352, NOW - 40),
+            new Held(false, 0x299e4f76b58adL, 0xd1fefdb73830L, 1_785, NOW - 19_000)));
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void whatIsWrittenIsRead() {
+        assertThat(Notes.read(NOTES.text(), NOW + 30)).isEqualTo(NOTES);
+    }
+
+    /** Nothing in it is needed, so whatever is odd about it only means that there is none. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
+            "form":1     | "form":2
+            "form":1     | "from":1
+            "written_ms" | "written"
+            1.796        | "1.796
+            2352         | "2352"
+            2352         | -2352
+            2352         | 1e9
+            "a89b790ba0b6" | "a89b790ba0b6a89b790ba0b6"
+            "a89b790ba0b6" | "engine"
+            [1,"         | [["1","
+            ]]}          | ]]
+            """)
+    void whatIsOddIsIgnored(String right, String wrong) {
+        String text = NOTES.text();
+        assertThat(text).contains(right);
+        assertThat(Notes.read(text.replace(right, wrong), NOW + 30)).isNull();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,true", "4900,true", "5100,false", "86400000,false", "-40,true", "-1000,false"})
+    void whatIsOldOrFromTheFutureIsIgnored(double ageMs, boolean believed) {
+        assertThat(Notes.read(new Notes(NOW, List.of()).text(), NOW + ageMs) != null).isEqualTo(believed);
+    }
+
+    @Test
+    void cutAnywhereItIsIgnored() {
+        String text = NOTES.text();
+        for (int length = 0; length < text.length(); length++) {
+            assertThat(Notes.read(text.substring(0, length), NOW)).as(text.substring(0, length)).isNull();
+        }
+    }
+
+    @Test
+    void theLastTextIsTakenOnceAndNothingIsLeftBehind() throws Exception {
+        new Handover(folder, 1).leave("one");
+        new Handover(folder, 2).leave("two");
+        Handover next = new Handover(folder, 3);
+        assertThat(next.take()).isEqualTo("two");
+        assertThat(next.take()).isNull();
+        try (Stream<Path> left = Files.list(folder)) {
+            assertThat(left).isEmpty();
+        }
+    }
+
+    @Test
+    void aFolderThatIsNotThereCostsNothing() {
+        Handover none = new Handover(folder.resolve("none"), 1);
+        none.leave("one");
+        assertThat(none.take()).isNull();
+    }
+}
