--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -13,9 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.Consumer;
+import java.util.concurrent.atomic.AtomicReference;
 import maplerail.config.ConfigException;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
@@ -32,8 +30,6 @@
 public final class Main {
     private static final int BUFFER = 1 << 16;
     private static final long CONFORM_WAIT_MS = 10_000;
-    private static final int MOST_READS = 10; // of a file that goes on changing
-    private static final long SETTLE_NANOS = 30_000_000; // between two of them
     private static final String USAGE = """
             usage: maplerail COMMAND [--config FILE] [--tools FILE]
               serve          run a gateway; its configuration is FILE, else $RELAY_CONFIG;
@@ -146,7 +142,18 @@
         }
         String shared = config.inherited() ? environment.get("TMPDIR") : null;
         Gateway gateway = new Gateway(config, tools, shared == null || shared.isEmpty() ? null : Path.of(shared));
-        Hangup.then(new Reloading(gateway, file, text, toolsFile, environment)::now);
+        // The environment is as old as the process: after a new file it no longer comes first.
+        Map<String, String> left = new HashMap<>(environment);
+        left.remove("RELAY_DISCOVERY");
+        Reload reload = new Reload(Main::read, gateway::rejected);
+        AtomicReference<String> inForce = new AtomicReference<>(text);
+        Hangup.then(() -> reload.run(() -> {
+            reload.take(file, news -> {
+                gateway.reload(NodeConfig.next(news, inForce.get(), left));
+                inForce.set(news);
+            });
+            if (toolsFile != null) reload.take(toolsFile, news -> gateway.reload(ToolsConfig.read(news)));
+        }));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             gateway.drain();
             try {
@@ -164,56 +171,6 @@
         return -1;
     }
 
-    /**
-     * Reads a file again at each SIGHUP, one at a time, and takes it as it then is. One that can't be used is named with
-     * its key, and what was read before it stays.
-     */
-    private static final class Reloading {
-        private final Gateway gateway;
-        private final String file;
-        private final String toolsFile;
-        private final Map<String, String> environment;
-        private String inForce;
-
-        Reloading(Gateway gateway, String file, String inForce, String toolsFile, Map<String, String> environment) {
-            this.gateway = gateway;
-            this.file = file;
-            this.inForce = inForce;
-            this.toolsFile = toolsFile;
-            // The environment is as old as the process: after a new file it no longer comes first.
-            this.environment = new HashMap<>(environment);
-            this.environment.remove("RELAY_DISCOVERY");
-        }
-
-        synchronized void now() {
-            take(file, text -> {
-                gateway.reload(NodeConfig.next(text, inForce, environment));
-                inForce = text;
-            });
-            if (toolsFile != null) take(toolsFile, text -> gateway.reload(ToolsConfig.read(text)));
-        }
-
-        /** Guards against a file that is being written: what can't be read is read again for as long as it changes. */
-        private void take(String name, Consumer<String> use) {
-            String last = null;
-            for (int i = 0;; i++) {
-                String text = null;
-                try {
-                    text = read(name);
-                    use.accept(text);
-                    return;
-                } catch (RuntimeException e) {
-                    if (i == MOST_READS || i > 0 && Objects.equals(text, last)) {
-                        gateway.rejected(e.getMessage());
-                        return;
-                    }
-                }
-                last = text;
-                LockSupport.parkNanos(SETTLE_NANOS);
-            }
-        }
-    }
-
     private static String read(String file) {
         try {
             return Files.readString(Path.of(file));
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -72,6 +72,21 @@
                 .check(classes);
     }
 
+    /** Figures and what is handed over are told to anyone; XNIO's package has the one class that needs to be there. */
+    @Test
+    void whatOperatorsSeeKnowsNoWire() {
+        ArchRuleDefinition.classes().that().resideInAPackage("maplerail.metrics..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java.lang..", "java.util..", "maplerail.metrics..").check(classes);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.handover..").should().dependOnClassesThat()
+                .resideInAnyPackage("io.undertow..", "org.xnio..", "java.net..", "maplerail.core..", "maplerail.net..",
+                        "maplerail.front..", "maplerail.cli..").check(classes);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.front.admin..").should().dependOnClassesThat()
+                .resideInAnyPackage("maplerail.core..", "maplerail.net..", "maplerail.cli..", "maplerail.front.platform..")
+                .check(classes);
+        ArchRuleDefinition.classes().that().resideInAPackage("org.xnio..").should().haveSimpleName("InheritedListener")
+                .check(new ClassFileImporter().importPath("target/classes/org"));
+    }
+
     @Test
     void logicIsShortEnoughToReadAloud() throws IOException {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/maplerail/Logic.java"));
--- a/src/test/java/maplerail/cli/LameDuckTest.java
+++ b/src/test/java/maplerail/cli/LameDuckTest.java
@@ -88,6 +88,24 @@
         }
     }
 
+    @Test
+    void otherSettingsMeanwhileDoNotBringClientsBack() throws Exception {
+        try (StandIn reader = World.reader(); StandIn writer = writer(); World world = world(reader, writer)) {
+            world.call("PUT /_lameduck/on");
+            world.gateway.reload(maplerail.config.NodeConfig.read(world.config("127.0.0.1:0"), java.util.Map.of()));
+            await("in force", () -> {
+                try {
+                    return world.figure("conf_loaded") == 1;
+                } catch (java.io.IOException e) {
+                    return false;
+                }
+            });
+            assertThat(world.exchange(READY)).startsWith("HTTP/1.1 503");
+            world.call("PUT /_lameduck/off");
+            assertThat(world.exchange(READY)).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** The signal to stop counts in the middle of it, and what was open is finished. */
     @Test
     void toldToStopMeanwhileItStops() throws Exception {
