Gateways of a tier tell each other how their readers pace, by datagram

Change: fleet.Exchange sums a gateway's own reads by reader and, once a period (15 ms a gateway of the tier, 250 ms to 2 s), sends them to peers_all in one datagram of at most 256 bytes through net.PeerLink; what is heard reaches the module as Router.Seen and counts in the reader's pace, never in ejection. Malformed, foreign, spoofed, own and stale datagrams are dropped and counted; figures peer_sent, peer_bytes, peer_heard, peer_dropped. On where limits.mayTell and peer_listen, peers and peers_all are given.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -220,7 +220,7 @@
         if (now >= usualUntil) usual.clear();
         for (Event event : events) {
             // What is seen of an engine counts at once; that a few milliseconds pass does not.
-            if (event instanceof Ended || event instanceof FirstToken) usual.clear();
+            if (event instanceof Ended || event instanceof FirstToken || event instanceof Seen) usual.clear();
             if (event instanceof Arrival arrival) onArrival(arrival);
             if (event instanceof Ended ended) onEnded(ended);
             if (event instanceof FirstToken first) onFirstToken(first);
@@ -229,6 +229,7 @@
             if (event instanceof Abandoned gone) close(requests.get(gone.id()));
             if (event instanceof Retuned news) settings = news.settings();
             if (event instanceof Held held) onHeld(held);
+            if (event instanceof Seen seen) onSeen(seen);
         }
         return actions;
     }
@@ -339,6 +340,14 @@
         if (engine != null) put(h.session() ? sessions : prefixes, h.key(), engine, h.tokens(), h.atMs());
     }
 
+    /** A peer's reads count in a reader's pace as ours do; only what this node sees itself ejects. */
+    private void onSeen(Seen seen) {
+        Engine engine = engines.get(seen.engine());
+        if (engine == null || engine.role == Role.WRITE || !(sane(seen.spentMs()) > 0)) return;
+        engine.pace.add(seen.spentMs() / (sane(seen.tokens()) + READ_OVERHEAD));
+        engine.typicalMs.add(seen.spentMs());
+    }
+
     private Attempt attemptOf(long id, int number) {
         Request request = requests.get(id);
         if (request == null || number >= request.attempts.size()) return null;
@@ -380,10 +389,8 @@
         return spill(request, d2lpm(request, able, matched), able);
     }
 
-    /**
-     * The zone to read in: its own, unless writers elsewhere have that much more room. Guards against a price
-     * for each crossing between sites; following the writers, states need not leave a zone short of them.
-     */
+    /** The zone to read in: its own, unless writers elsewhere have that much more room. Guards against a
+     * price for each crossing between sites; following the writers, states leave no zone short of them. */
     private int zone(Request request, List<Engine> readers) {
         double average = reportedAverage();
         List<Engine> writers = able(request, null, e -> e.role != Role.READ
@@ -569,10 +576,8 @@
                 random.nextLong());
     }
 
-    /**
-     * The cell that counts as near: the reader's own, or where that has few writers so often another that all
-     * writers get as much. Guards against nodes that never see them full; harms where cells read unequally.
-     */
+    /** The cell that counts as near: the reader's own, or where that has few writers so often another that
+     * all writers get as much. Guards against nodes that never see them full; harms where cells differ. */
     private int nearCell(Engine holder, List<Engine> able) {
         if (holder == null) return -1;
         List<Engine> readers = peers(holder);
@@ -797,10 +802,8 @@
         return startedMs > 0 && now < startedMs + settings.rules().warmAfterMs();
     }
 
-    /**
-     * Our share of what a cold engine can do, judged by what its warm peers get from us on average; it grows
-     * evenly until it is warm. Guards against few warm peers that drown while newcomers have room.
-     */
+    /** Our share of what a cold engine can do, judged by what its warm peers get from us on average; it grows
+     * evenly until it is warm. Guards against few warm peers that drown while newcomers have room. */
     private boolean coldRoom(Engine engine) {
         if (!cold(engine)) return true;
         double least = settings.rules().startCapacity();
@@ -926,10 +929,8 @@
 
     // ---- Admission: load shedding by worth ----
 
-    /**
-     * Work gives way when its first token is expected near its own aim, or near that of work worth more.
-     * Guards against every lasting lack of capacity; could harm where a short burst would have passed.
-     */
+    /** Work gives way when its first token is expected near its own aim, or near that of work worth more.
+     * Guards against every lasting lack of capacity; could harm where a short burst would have passed. */
     private boolean overloaded(Request request, Engine reader) {
         // The rest of a stream that broke is let in: refused, what was served of it would be lost too.
         if (reader == null || request.asked.resumed()) return false;
--- a/src/main/java/maplerail/Router.java
+++ b/src/main/java/maplerail/Router.java
@@ -58,7 +58,7 @@
 
     /** Something that happened. */
     sealed interface Event permits Members, Arrival, FirstToken, Ended, Abandoned, Timer,
-            Retuned, Held { }
+            Retuned, Held, Seen { }
 
     /** News of which engines there are. */
     record Members(ListKind kind, long version, List<Member> members) implements Event { }
@@ -87,6 +87,13 @@
     /** Another module, which served here before, holds a session's or a shared beginning to be kept at an engine. */
     record Held(boolean session, long key, long engine, double tokens, double atMs) implements Event { }
 
+    /**
+     * Another gateway of the tier read {@code tokens} uncached tokens of a prompt at a reader, taking {@code spentMs}
+     * from its send to the read's end (queue included), averaged over the reads it saw there lately. It tells the
+     * module how that reader paces now, which this gateway alone learns too seldom where many share the engines.
+     */
+    record Seen(long engine, double spentMs, double tokens) implements Event { }
+
     /** Something to do. */
     sealed interface Action permits Send, Cancel, Release, Refuse, Fail, SetTimer, Subscribe, FetchList, Log { }
 
--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -27,6 +27,7 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
+import maplerail.fleet.Exchange;
 import maplerail.front.Door;
 import maplerail.front.Turnstile;
 import maplerail.front.admin.AdminDoor;
@@ -38,6 +39,7 @@
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Figure;
 import maplerail.net.EngineClient;
+import maplerail.net.PeerLink;
 import maplerail.net.Pool;
 import maplerail.net.XnioLoop;
 import org.slf4j.Logger;
@@ -58,6 +60,7 @@
     // What keeps the draws of the watch and of advice to clients apart from the module's.
     private static final long WATCH_DRAWS = 0x5bd1e995a7c3f1d1L;
     private static final long ADVICE_DRAWS = 0x27d4eb2f165667c5L;
+    private static final long PEER_DRAWS = 0x9e3779b97f4a7c15L;
     private static final double LOOK_MS = 20;
     private static final double LAST_MS = 350; // before the end by force, by when what has come since has an answer
     /** After the signal to stop, it is ended by force: the longest deadline, 3 s at most, and this much later. */
@@ -100,6 +103,9 @@
     private AcceptingChannel<?> rpcServer;
     private final List<Door> doors = new ArrayList<>();
     private AdminDoor admin;
+    private final Exchange exchange; // what gateways of the tier tell each other of readers; null where off
+    private PeerLink peerLink;
+    private final SplittableRandom peerDraws;
     private volatile boolean told; // a list of engines is known
     private volatile boolean serving;
 
@@ -136,6 +142,10 @@
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle, loop)
                 : null;
         rpcListen = on ? toolsConfig.listen() : null;
+        NodeConfig.Peers peers = config.peers();
+        exchange = peers == null ? null : new Exchange(peers.rank(), peers.members().size(), loop.nowMs());
+        peerDraws = new SplittableRandom(settings.seed() ^ PEER_DRAWS);
+        if (exchange != null) broker.witness(exchange::read);
     }
 
     /** The module, with what it hears and orders written down where the operators have that logger on. */
@@ -192,7 +202,17 @@
             if (known != null && !known.members().isEmpty()) ready();
             if (config.admin() != null) publish();
             if (handover != null) takeOver(loop.nowMs() + TAKE_OVER_MS);
+            if (exchange != null) {
+                exchange.engines(broker.readers());
+                loop.at(loop.nowMs() + exchange.delayMs(peerDraws.nextDouble()), this::tell);
+            }
         });
+        if (exchange != null) {
+            NodeConfig.Peers peers = config.peers();
+            peerLink = PeerLink.open(worker, peers.listen(),
+                    (from, bytes, length) -> broker.seen(exchange.hear(peers.rankOf(from), bytes, length)));
+            LOG.info("gateways of the tier are told at {} and heard at {}", peers.all(), peerLink.address());
+        }
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
@@ -232,6 +252,7 @@
         engines.hear(list);
         broker.members(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
                 list.version(), list.members()));
+        if (exchange != null) exchange.engines(broker.readers());
         ready();
     }
 
@@ -298,6 +319,15 @@
         });
     }
 
+    /** Tells the tier what this gateway saw of readers since it last did, if anything; then again a period later. */
+    private void tell() {
+        byte[] datagram = exchange.due();
+        if (datagram != null && peerLink != null) peerLink.send(config.peers().all(), datagram);
+        metrics.peers(exchange.sent(), exchange.sentBytes(), exchange.heard(),
+                exchange.dropped().values().stream().mapToLong(Long::longValue).sum());
+        if (!leaving()) loop.at(loop.nowMs() + exchange.delayMs(peerDraws.nextDouble()), this::tell);
+    }
+
     /** Guards against a reader that has to wait for the loop: it sees what the loop last put up. */
     private void publish() {
         metrics.engines(broker.listed(), broker.avoided());
@@ -387,7 +417,7 @@
     /** Stops at once, whatever is open. */
     public void stop() {
         loop.execute(() -> {
-            IoUtils.safeClose(server, rpcServer);
+            IoUtils.safeClose(server, rpcServer, peerLink);
             if (admin != null) admin.close();
             doors.forEach(Door::close);
             worker.shutdownNow();
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -1,6 +1,7 @@
 package maplerail.config;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import maplerail.Router;
@@ -11,7 +12,7 @@
  */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery,
         InetSocketAddress admin, boolean inherited, Names names,
-        Router.Settings settings, EngineList known, Wire wire) {
+        Router.Settings settings, EngineList known, Wire wire, Peers peers) {
 
     private static final int SOCKETS = 1_024; // descriptors, where the configuration states no limit
     private static final int LEAST_SOCKETS = 128;
@@ -23,6 +24,18 @@
     public record Wire(double connIdleMs, double connectTimeoutMs, int maxOpen, boolean retryAfter, int sockets,
             boolean resume) { }
 
+    /**
+     * The other gateways of the tier, where the settings let gateways tell each other ({@code limits.mayTell}) and the
+     * configuration names them: {@code listen} is {@code peer_listen}, {@code members} are {@code peers} in the order
+     * of their ranks (this one's included, at {@code rank}), {@code all} is {@code peers_all}, which reaches every one.
+     */
+    public record Peers(InetSocketAddress listen, List<InetSocketAddress> members, InetSocketAddress all, int rank) {
+        /** The rank of the gateway that sends from this address, or -1 for none of the tier. */
+        public int rankOf(InetSocketAddress address) {
+            return members.indexOf(address);
+        }
+    }
+
     /**
      * Reads the text of a configuration that is to replace one while the program runs, whole or not at all. Guards
      * against a file from which a part has been lost: what may be left out at a start would silently be reset.
@@ -59,7 +72,7 @@
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
                 new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
                         (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root),
-                        settings.at("familyInfo").at("resume").flag()));
+                        settings.at("familyInfo").at("resume").flag()), peers(root, settings));
     }
 
     private static int sockets(Tree root) {
@@ -81,6 +94,19 @@
         return true;
     }
 
+    /** Null where the settings do not allow it or no peers are named; a named address that is not one is an error. */
+    private static Peers peers(Tree root, Tree settings) {
+        if (!settings.at("limits").at("mayTell").flag() || !root.at("peer_listen").present()) return null;
+        List<InetSocketAddress> members = new ArrayList<>();
+        for (Tree peer : root.need("peers").list()) members.add(Address.need(peer));
+        int rank = (int) settings.need("rank").number();
+        if (rank < 0 || rank >= members.size()) {
+            throw new ConfigException(settings.at("rank").path() + ": " + rank + " is no place in config.peers");
+        }
+        return new Peers(Address.need(root.at("peer_listen")), List.copyOf(members), Address.need(root.need("peers_all")),
+                rank);
+    }
+
     private static InetSocketAddress address(String told, String variable, Tree root, String key) {
         if (told == null || told.isEmpty()) return Address.need(root.need(key));
         InetSocketAddress address = Address.parse(told);
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import maplerail.Router;
 import maplerail.core.Caller.Why;
@@ -112,6 +113,21 @@
         }
     }
 
+    /** Who hears of each read that ended well: what gateways of a tier tell each other. */
+    public void witness(Witness to) {
+        send.witness(to);
+    }
+
+    /** What other gateways saw of readers, for the module. */
+    public void seen(List<Router.Seen> facts) {
+        facts.forEach(route::tell);
+    }
+
+    /** The readers that the list names. */
+    public Set<Long> readers() {
+        return fleet.readers();
+    }
+
     /** Engines listed that the module passes over for now. */
     public int avoided() {
         return route.avoided();
--- a/src/main/java/maplerail/core/Fleet.java
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -46,6 +46,14 @@
         return roles.size();
     }
 
+    Set<Long> readers() {
+        Set<Long> readers = new HashSet<>();
+        roles.forEach((engine, role) -> {
+            if (role == Router.Role.READ) readers.add(engine);
+        });
+        return readers;
+    }
+
     boolean reader(long engine) {
         return roles.get(engine) == Router.Role.READ;
     }
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -19,6 +19,7 @@
     private final Metrics metrics;
     private final Set<Entry> touched = new LinkedHashSet<>();
     private Route route;
+    private Witness witness;
 
     Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, Metrics metrics) {
         this.engines = engines;
@@ -156,6 +157,9 @@
         // An answer may be whole without an event; it is the caller's all the same.
         if (outcome == Outcome.SERVED && entry.winner == null && !entry.answered) entry.winner = attempt;
         if (entry.winner == attempt) relay.ended(attempt, outcome);
+        if (read && witness != null) {
+            witness.read(attempt.engine, loop.nowMs() - attempt.sentMs, Math.max(0, entry.ask.promptTokens() - kept));
+        }
         route.tell(new Router.Ended(entry.number, attempt.number, attempt.engine, outcome,
                 loop.nowMs() - attempt.sentMs, kept, entry.answered, UNTOLD));
     }
@@ -164,6 +168,11 @@
      * Closes the books on attempts that ended, once the module has said all that it wants. Guards against letting
      * go of a cut read's state at a reader to which the module sends the same request in its next breath.
      */
+    /** Who hears of each read that ended well, or null. */
+    void witness(Witness to) {
+        witness = to;
+    }
+
     void settle() {
         touched.forEach(book::settle);
         touched.clear();
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -22,6 +22,7 @@
     private final AtomicLong invalid = new AtomicLong();
     private volatile int listed;
     private volatile int avoided;
+    private volatile long[] peers; // sent, bytes sent, heard, dropped; null where gateways do not tell each other
 
     /** The final answers of one class of requests. */
     public static final class Tally {
@@ -72,6 +73,11 @@
         avoided = passedOver;
     }
 
+    /** What went between gateways so far: datagrams sent and their bytes, datagrams heard and used, and dropped. */
+    public void peers(long sent, long bytes, long heard, long dropped) {
+        peers = new long[] {sent, bytes, heard, dropped};
+    }
+
     /** All figures now. */
     public List<Figure> figures() {
         List<Figure> out = new ArrayList<>();
@@ -87,6 +93,11 @@
         out.add(new Figure("cluster_unhealthy", avoided, false));
         out.add(new Figure("conf_loaded", loaded.get(), true));
         out.add(new Figure("conf_invalid", invalid.get(), true));
+        long[] told = peers;
+        if (told != null) {
+            String[] names = {"peer_sent", "peer_bytes", "peer_heard", "peer_dropped"};
+            for (int i = 0; i < names.length; i++) out.add(new Figure(names[i], told[i], true));
+        }
         return out;
     }
 }
