The simulator's adapter tells peers as the gateway does; a test that peers' reads steer

Change: sim.Told wraps an Exchange for each instance whose settings have limits.mayTell: its reads are summed, a timer of its own (a negative token, which no token of the module is) sends the sums as Notify to all, and Mail reaches the module as Router.Seen. SettingsReader tells the rank where telling is allowed. LogicTest: readers that peers saw fall behind get no reads (fails with the Seen events ignored: request 1 went to reader 2).

--- a/src/main/java/maplerail/config/SettingsReader.java
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -10,8 +10,11 @@
 public final class SettingsReader {
     private SettingsReader() { }
 
-    /** The settings, and the place of the memory share in a load report (-1: not reported). */
-    public record Parsed(Router.Settings settings, int memoryColumn) { }
+    /**
+     * The settings, the place of the memory share in a load report (-1: not reported), and this instance's rank in
+     * its tier where instances may tell each other ({@code limits.mayTell}), else -1.
+     */
+    public record Parsed(Router.Settings settings, int memoryColumn, int tellRank) { }
 
     /** Reads the text of the settings. */
     public static Parsed read(long seed, String text) {
@@ -25,7 +28,7 @@
                 (int) root.need("zone").number(), root.need("tickMs").number(),
                 "ask".equals(root.at("discovery").text("")), root.at("overShareWorth").number(1),
                 classes(root, family), tenants(root), kinds(family), limits(root, family), rules(root, family)),
-                memoryColumn(root));
+                memoryColumn(root), root.at("limits").at("mayTell").flag() ? (int) root.at("rank").number(-1) : -1);
     }
 
     private static List<Router.RequestClass> classes(Tree root, Tree family) {
--- a/src/main/java/maplerail/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -90,6 +90,12 @@
             return (int) (tail + offset);
         }
 
+        /** The bytes of a tail reference. */
+        byte[] bytes(int record, int at) {
+            int from = tailAt(record, at, 1);
+            return java.util.Arrays.copyOfRange(body.array(), from, from + (int) u32(record, at + 4));
+        }
+
         String text(int record, int at) {
             int from = tailAt(record, at, 1);
             return new String(body.array(), from, (int) u32(record, at + 4), StandardCharsets.UTF_8);
@@ -212,6 +218,13 @@
             end();
         }
 
+        /** A datagram for every other instance of the tier. */
+        void notifyAll(byte[] bytes) {
+            start(1000).putInt(-1).putInt(tail.size()).putInt(bytes.length);
+            tail.writeBytes(bytes);
+            end();
+        }
+
         void broken(String line) {
             text(1010, line);
         }
--- a/src/main/java/maplerail/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +16,8 @@
     private final Map<Integer, Node> nodes = new HashMap<>();
     private final Function<Router.Settings, Router> modules;
 
-    private record Node(Router router, int memoryColumn) { }
+    private record Node(Router router, int memoryColumn, Told told) { }
+    private static final int MAIL = 1080;
 
     Host(Function<Router.Settings, Router> modules) {
         this.modules = modules;
@@ -43,7 +45,15 @@
             }
             if (code == Codec.LAUNCH) {
                 SettingsReader.Parsed parsed = SettingsReader.read(batch.u64(record, 2), batch.text(record, 10));
-                nodes.put(instance, new Node(modules.apply(parsed.settings()), parsed.memoryColumn()));
+                Router.Settings settings = parsed.settings();
+                boolean tells = parsed.tellRank() >= 0 && parsed.tellRank() < settings.routers() && settings.routers() > 1;
+                Told told = tells ? new Told(settings, parsed.tellRank(), batch.clockMs) : null;
+                nodes.put(instance, new Node(modules.apply(settings), parsed.memoryColumn(), told));
+                if (told != null) {
+                    if (named != instance) reply.instance(instance);
+                    named = instance;
+                    reply.action(told.next(batch.clockMs));
+                }
                 continue;
             }
             if (code == Codec.SHUTDOWN) {
@@ -55,17 +65,32 @@
                 throw new WireException("record " + record + ": code " + code + " for instance " + instance
                         + ", which is not up");
             }
-            Router.Event event = batch.event(record, node.memoryColumn());
-            if (event == null) {
+            List<Router.Event> events = new ArrayList<>();
+            Router.Event event = code == MAIL ? null : batch.event(record, node.memoryColumn());
+            Told told = node.told();
+            if (told != null && code == MAIL) {
+                events.addAll(told.heard((int) batch.u32(record, 2), batch.bytes(record, 6)));
+            } else if (told != null && event instanceof Router.Timer timer && timer.token() == Told.TIMER) {
+                byte[] datagram = told.due();
+                if (named != instance) reply.instance(instance);
+                named = instance;
+                if (datagram != null) reply.notifyAll(datagram);
+                reply.action(told.next(batch.clockMs));
+                continue;
+            } else if (event != null) {
+                if (told != null) told.saw(event);
+                events.add(event);
+            }
+            if (events.isEmpty()) {
                 continue;
             }
             List<Router.Action> actions;
             String fault = null;
             try {
-                actions = node.router().step(batch.clockMs, List.of(event));
+                actions = node.router().step(batch.clockMs, events);
             } catch (RuntimeException e) {
                 actions = List.of();
-                fault = "instance " + instance + ": " + event.getClass().getSimpleName() + ": " + e
+                fault = "instance " + instance + ": " + events.get(0).getClass().getSimpleName() + ": " + e
                         + (e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : "");
             }
             if (named != instance && (fault != null || !actions.isEmpty())) {
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -66,6 +66,25 @@
 
     // ---- The ordinary path ----
 
+    /** Where many gateways share readers, what the others saw of a reader's pace steers this one's reads too. */
+    @Test
+    void readersThatPeersSawFallBehindAreSpared() {
+        Node node = small();
+        node.routers = 100;
+        for (int i = 0; i < 5; i++) {
+            node.on(new Router.Seen(1, 3_000, 1_000));
+            node.on(new Router.Seen(2, 3_000, 1_000));
+            node.on(new Router.Seen(3, 60, 1_000));
+            node.on(new Router.Seen(11, 1, 1_000)); // a writer: no reads to tell of, and nothing changes
+        }
+        for (long id = 1; id <= 12; id++) {
+            node.arrive(id, 1_000 + id, 0, 1_000, 5_000);
+            assertEquals(3, node.sent().engine(), "request " + id);
+            node.end(id, 0, Outcome.READ);
+            node.end(id, 1, Outcome.SERVED);
+        }
+    }
+
     @Test
     void aPromptGoesToAReaderAndThenToAWriter() {
         Node node = small();
