A new version waits for the tier's address while the old one holds it; the leaver lets go

Need: in an upgrade both processes are given the same peer_listen. Where the address can't be bound twice, the new process would have failed to start.

Change: the peer link is opened on the loop and tried again every 100 ms while the address is busy (logged once); the leaver closes its link at SIGTERM. UpgradeIT gives both processes the same peer_listen and waits for the new one to listen to its tier; XNIO binds UDP with address reuse here, so that check passes without the retry as well: the retry guards platforms that refuse the second bind.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -61,6 +61,7 @@
     private static final long WATCH_DRAWS = 0x5bd1e995a7c3f1d1L;
     private static final long ADVICE_DRAWS = 0x27d4eb2f165667c5L;
     private static final long PEER_DRAWS = 0x9e3779b97f4a7c15L;
+    private static final double PEERS_AGAIN_MS = 100; // between two tries at a peer_listen that another process holds
     private static final double LOOK_MS = 20;
     private static final double LAST_MS = 350; // before the end by force, by when what has come since has an answer
     /** After the signal to stop, it is ended by force: the longest deadline, 3 s at most, and this much later. */
@@ -105,6 +106,7 @@
     private AdminDoor admin;
     private final Exchange exchange; // what gateways of the tier tell each other of readers; null where off
     private PeerLink peerLink;
+    private boolean peersBusy;
     private final SplittableRandom peerDraws;
     private volatile boolean told; // a list of engines is known
     private volatile boolean serving;
@@ -207,12 +209,7 @@
                 loop.at(loop.nowMs() + exchange.delayMs(peerDraws.nextDouble()), this::tell);
             }
         });
-        if (exchange != null) {
-            NodeConfig.Peers peers = config.peers();
-            peerLink = PeerLink.open(worker, peers.listen(),
-                    (from, bytes, length) -> broker.seen(exchange.hear(peers.rankOf(from), bytes, length)));
-            LOG.info("gateways of the tier are told at {} and heard at {}", peers.all(), peerLink.address());
-        }
+        if (exchange != null) loop.execute(this::listenToPeers);
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
@@ -319,6 +316,26 @@
         });
     }
 
+    /**
+     * Listens for the tier's datagrams. Guards against the process that a new version replaces: it holds the same
+     * {@code peer_listen} until it leaves, so the new one tries again until the address is free, and tells nothing
+     * meanwhile (its datagrams must come from that address).
+     */
+    private void listenToPeers() {
+        if (leaving()) return;
+        NodeConfig.Peers peers = config.peers();
+        try {
+            peerLink = PeerLink.open(worker, peers.listen(),
+                    (from, bytes, length) -> broker.seen(exchange.hear(peers.rankOf(from), bytes, length)));
+            LOG.info("gateways of the tier are told at {} and heard at {}", peers.all(), peerLink.address());
+        } catch (IOException e) {
+            if (!peersBusy) LOG.info("{} is not free yet ({}); tried again every {} ms", peers.listen(), e.getMessage(),
+                    PEERS_AGAIN_MS);
+            peersBusy = true;
+            loop.at(loop.nowMs() + PEERS_AGAIN_MS, this::listenToPeers);
+        }
+    }
+
     /** Tells the tier what this gateway saw of readers since it last did, if anything; then again a period later. */
     private void tell() {
         byte[] datagram = exchange.due();
@@ -372,6 +389,9 @@
             if (!leave()) return;
             // Another process has the socket too: what comes now is that one's.
             if (config.inherited()) IoUtils.safeClose(server);
+            // The one that serves on needs the address for datagrams of the tier.
+            IoUtils.safeClose(peerLink);
+            peerLink = null;
             // Guards against a request that comes on a kept connection just before the end, and would be cut off by it.
             handOver();
             broker.endBy(loop.nowMs() + forceMs() - LAST_MS);
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -70,7 +70,9 @@
             x.chunk("data: [DONE]\n\n");
             x.last();
         });
-        world = new World().admin().engine("r", "prefill", reader).engine("w", "decode", writer);
+        // The tier's datagrams: both processes are given the same peer_listen, as the platform does.
+        world = new World().admin().peers("127.0.0.1:" + freeUdpPort(), "127.0.0.1:" + freeUdpPort(),
+                "127.0.0.1:" + freeUdpPort()).engine("r", "prefill", reader).engine("w", "decode", writer);
         Files.writeString(folder.resolve("good"), world.config("127.0.0.1:1"));
         Files.writeString(folder.resolve("bad"), "{}");
     }
@@ -197,6 +199,8 @@
             await("the first has gone", () -> !alive(first));
             assertThat(World.readAll(slow.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
             await("handed over", () -> log("b").contains("were handed over"));
+            // Guards against a new process that can't bind the address that the old one holds until it leaves.
+            await("peers heard", () -> log("b").contains("gateways of the tier are told"));
             int before = clients.stream().mapToInt(c -> c.served.get()).sum();
             await("served on", () -> clients.stream().mapToInt(c -> c.served.get()).sum() > before + 50);
             // A second upgrade follows the first.
@@ -229,6 +233,12 @@
         for (int i = 0; i < 5; i++) assertThat(say(port, request("k" + i))).contains("[DONE]");
     }
 
+    private static int freeUdpPort() throws java.io.IOException {
+        try (java.net.DatagramSocket socket = new java.net.DatagramSocket(0, java.net.InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
     private static String request(String id) {
         return World.request(id, "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n");
     }
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -37,6 +37,7 @@
     private int sockets = 1_024;
     private String settings = SETTINGS;
     private boolean admin;
+    private String peers = "";
     public Gateway gateway;
 
     public World() throws IOException {
@@ -73,6 +74,18 @@
         return this;
     }
 
+    /**
+     * Gateways of a tier tell each other, this one of rank 0 at {@code listen}; the others are at {@code others}, and
+     * {@code all} reaches every one. Addresses as "host:port".
+     */
+    public World peers(String listen, String all, String... others) {
+        settings = settings.replace("\"sendCap\":5}", "\"sendCap\":5,\"mayTell\":true},\"rank\":0");
+        StringBuilder members = new StringBuilder("\"" + listen + "\"");
+        for (String other : others) members.append(",\"").append(other).append('"');
+        peers = ",\"peer_listen\":\"" + listen + "\",\"peers\":[" + members + "],\"peers_all\":\"" + all + "\"";
+        return this;
+    }
+
     /** Other settings, for what is started or told from now on. */
     public World settings(String right, String wrong) {
         if (!settings.contains(right)) throw new AssertionError(right);
@@ -131,7 +144,7 @@
 
     public String config(String listen) {
         return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address()
-                + "\"" + (admin ? ",\"admin\":\"127.0.0.1:0\"" : "") + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + settings + "}";
+                + "\"" + (admin ? ",\"admin\":\"127.0.0.1:0\"" : "") + peers + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + list() + ",\"settings\":" + settings + "}";
     }
 
     public World start() throws Exception {
