--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -59,6 +59,15 @@
                 .resideInAnyPackage("java.lang..", "java.util").check(classes);
     }
 
+    /** What gateways tell each other is decided without a socket or a clock; the lab is no part of a gateway. */
+    @Test
+    void theFleetDecidesWithoutInput() {
+        ArchRuleDefinition.classes().that().resideInAPackage("maplerail.fleet..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java.lang..", "java.util", "maplerail.fleet..", "maplerail").check(classes);
+        ArchRuleDefinition.noClasses().that().resideOutsideOfPackage("maplerail.lab..").should().dependOnClassesThat()
+                .resideInAPackage("maplerail.lab..").check(classes);
+    }
+
     @Test
     void theFrontsDoNotKnowEachOtherNorTheSimulator() {
         ArchRuleDefinition.noClasses().that().resideInAPackage("maplerail.front.platform..").should()
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -71,8 +71,9 @@
             x.last();
         });
         // The tier's datagrams: both processes are given the same peer_listen, as the platform does.
-        world = new World().admin().peers("127.0.0.1:" + freeUdpPort(), "127.0.0.1:" + freeUdpPort(),
-                "127.0.0.1:" + freeUdpPort()).engine("r", "prefill", reader).engine("w", "decode", writer);
+        String listen = "127.0.0.1:" + freeUdpPort();
+        world = new World().admin().peers(0, listen, "127.0.0.1:" + freeUdpPort(),
+                List.of(listen, "127.0.0.1:" + freeUdpPort())).engine("r", "prefill", reader).engine("w", "decode", writer);
         Files.writeString(folder.resolve("good"), world.config("127.0.0.1:1"));
         Files.writeString(folder.resolve("bad"), "{}");
     }
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
@@ -75,14 +76,14 @@
     }
 
     /**
-     * Gateways of a tier tell each other, this one of rank 0 at {@code listen}; the others are at {@code others}, and
-     * {@code all} reaches every one. Addresses as "host:port".
+     * Gateways of a tier tell each other: this one is of {@code rank} and listens at {@code listen}; {@code members} are
+     * the tier's addresses in {@code peers} by rank, and {@code all} reaches every one. Addresses as "host:port".
      */
-    public World peers(String listen, String all, String... others) {
-        settings = settings.replace("\"sendCap\":5}", "\"sendCap\":5,\"mayTell\":true},\"rank\":0");
-        StringBuilder members = new StringBuilder("\"" + listen + "\"");
-        for (String other : others) members.append(",\"").append(other).append('"');
-        peers = ",\"peer_listen\":\"" + listen + "\",\"peers\":[" + members + "],\"peers_all\":\"" + all + "\"";
+    public World peers(int rank, String listen, String all, List<String> members) {
+        settings = settings.replaceFirst("\"sendCap\":5(,\"mayTell\":true)?}(,\"rank\":\\d+)?", "\"sendCap\":5,\"mayTell\":true},\"rank\":" + rank)
+                .replaceFirst("\"balancers\":\\d+", "\"balancers\":" + members.size());
+        peers = ",\"peer_listen\":\"" + listen + "\",\"peers\":[\"" + String.join("\",\"", members)
+                + "\"],\"peers_all\":\"" + all + "\"";
         return this;
     }
 
