A withdrawn attempt answered at once by another no longer breaks the list's news

The rest of the news was not applied and the answer of discovery was not taken.

Change: withdrawUnsent and cutAll walk a copy of a request's attempts. $RELAY_PEERS=off leaves the datagrams off whatever the configuration says, for a deploy file that wants none.

Measured: BrokerTest fails without the copy (the same exception) and passes with it.

--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -72,7 +72,8 @@
                 SettingsReader.read(EngineIds.key(root.at("seed").text("1")), settings).settings(), known,
                 new Wire(limits.at("connIdleMs").number(30_000), limits.at("connectTimeoutMs").number(250),
                         (int) limits.at("maxOpen").number(20_000), limits.at("retryAfter").flag(), sockets(root),
-                        settings.at("familyInfo").at("resume").flag()), peers(root, settings));
+                        settings.at("familyInfo").at("resume").flag()),
+                "off".equals(environment.get("RELAY_PEERS")) ? null : peers(root, settings));
     }
 
     private static int sockets(Tree root) {
@@ -94,7 +95,10 @@
         return true;
     }
 
-    /** Null where the settings do not allow it or no peers are named; a named address that is not one is an error. */
+    /**
+     * Null where the settings do not allow it, no peers are named, or {@code $RELAY_PEERS} is {@code off} (for a deploy
+     * file that wants none); a named address that is not one is an error.
+     */
     private static Peers peers(Tree root, Tree settings) {
         if (!settings.at("limits").at("mayTell").flag() || !root.at("peer_listen").present()) return null;
         List<InetSocketAddress> members = new ArrayList<>();
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import maplerail.Router;
 import maplerail.Router.Outcome;
@@ -123,13 +124,14 @@
 
     /** The caller has left: nobody reads a stream either. */
     void cutAll(Entry entry) {
-        for (Entry.Try attempt : entry.tries) cut(attempt, Outcome.CANCELLED);
+        for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, Outcome.CANCELLED);
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
     void withdrawUnsent() {
         for (Entry entry : book.all()) {
-            for (Entry.Try attempt : entry.tries) {
+            // Guards against the module's answer to a cut, which may be another attempt of the same request at once.
+            for (Entry.Try attempt : List.copyOf(entry.tries)) {
                 boolean unsent = !attempt.ended && attempt.sending != null && attempt.sending.unsent();
                 if (unsent && !fleet.ready(attempt.engine)) cut(attempt, Outcome.UNREACHABLE);
             }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -35,6 +35,7 @@
     private boolean ready = true;
     private boolean unsent;
     private boolean broken;
+    private final List<Router.Action> atEnd = new ArrayList<>(); // what the module orders when it hears an attempt ended
     private Broker broker;
 
     private static final class TestLoop implements Loop {
@@ -101,6 +102,11 @@
         Router router = (now, events) -> {
             if (broken) throw new IllegalStateException("oops");
             told.addAll(events);
+            if (!atEnd.isEmpty() && events.get(0) instanceof Ended) {
+                List<Router.Action> actions = List.copyOf(atEnd);
+                atEnd.clear();
+                return actions;
+            }
             List<Router.Action> actions = List.copyOf(next);
             next.clear();
             return actions;
@@ -411,6 +417,17 @@
         assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE, Outcome.NOT_SENT);
     }
 
+    /** Guards against a module that answers a withdrawn attempt with another at once: the list of attempts grows. */
+    @Test
+    void aDrainThatWithdrawsAnAttemptMayBeAnsweredByAnotherAtOnce() {
+        take("a", send(WRITER));
+        unsent = true;
+        atEnd.add(new Router.Send(1, READER, 0));
+        list(State.DRAINING);
+        assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE);
+        assertThat(out).hasSize(2);
+    }
+
     @Test
     void aStreamThatIsTheCallersIsNotCalledOffAndASecondOneIs() {
         take("a", send(WRITER), send(WRITER));
