What is held is let go in time: after reads that broke, past hung engines, and before the exit

The reader had gone on reading (a reset stops nobody) and left its state after the one release: Book.letGo repeated a release only within 150 ms of a cut of ours, and Send.ended did not count a reset as one. A write takes a state once it has arrived, so the state was held for 0.8 s and more; the module counts from the last end of an attempt, and a connection that fails to come up is none on sockets. Core now lets such a state go at the settings' time and 180 ms (sockets allow 300 more) and tells the module what a writer would: the state is gone, so that it reads anew.

By reading: EngineClient.Release went to other engines one by one and waited for good for one that hangs; it now goes on every 80 ms, those that answered last first. Gateway.finish ended the process with repeats still due.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -556,7 +556,8 @@
     private void finish() {
         doors.get(0).closeIdle();
         if (rpc != null) rpc.stopTaking();
-        if (doors.get(0).busy() > 0 || remembered() > 0 || streams != null && streams.onTheirWay() > 0 || rpc != null && rpc.openRequests() > 0) {
+        // A state that this process let go too late or never would stay held: its releases are said to their end.
+        if (doors.get(0).busy() > 0 || remembered() > 0 || broker.lettingGo() > 0 || engines.releasing() > 0 || streams != null && streams.onTheirWay() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -11,6 +11,7 @@
     /** After a cut, when what a reader finished all the same is let go: soon, and within the limit of any later end. */
     private static final double[] AGAIN_MS = {120, 400, 750, 1_100, 1_600};
     private static final double JUST_CUT_MS = 150;
+    private static final double READING_MS = 2_000; // after a read's end without a word, for which it may go on
 
     private final Engines engines;
     private final Loop loop;
@@ -20,6 +21,7 @@
     private final Map<Long, Entry> entries = new HashMap<>();
     private final Map<Long, Runnable> closers = new HashMap<>();
     private int unanswered;
+    private int againOpen;
 
     Book(Engines engines, Loop loop, Admit admit, Fleet fleet, Metrics metrics) {
         this.engines = engines;
@@ -52,6 +54,11 @@
         return entries.size();
     }
 
+    /** Releases that are still to be said once more. */
+    int lettingGo() {
+        return againOpen;
+    }
+
     /**
      * True the first time only: whoever gets true gives the final answer, or knows that nobody wants one. It is counted
      * here and nowhere else: once for each request, under the class that it came with.
@@ -74,18 +81,26 @@
      */
     void release(Entry entry) {
         if (entry.anyOut()) return;
-        for (long engine : List.copyOf(entry.mayHold)) {
+        for (long engine : List.copyOf(entry.mayHold.keySet())) {
             if (!entry.outAt(engine)) letGo(entry, engine);
         }
     }
 
+    /** Lets go of the states that are known to be held, whatever still waits for its connection. */
+    void letGoHeld(Entry entry) {
+        List.copyOf(entry.holds).forEach(engine -> letGo(entry, engine));
+    }
+
     private void letGo(Entry entry, long engine) {
-        entry.mayHold.remove(engine);
-        entry.holds.remove(engine);
+        double endedMs = entry.mayHold.remove(engine);
+        boolean said = entry.holds.remove(engine);
         free(engine, entry);
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
-        // though nobody waits: the state that it leaves then is held like any other.
-        if (loop.nowMs() - entry.lastCutMs >= JUST_CUT_MS) return;
+        // though nobody waits, as after a reset: the state that it leaves then is held like any other.
+        boolean later = loop.nowMs() - entry.lastCutMs < JUST_CUT_MS || !said && loop.nowMs() - endedMs < READING_MS;
+        if (!later) return;
+        againOpen++;
+        loop.at(loop.nowMs() + AGAIN_MS[AGAIN_MS.length - 1], () -> againOpen--);
         for (double afterMs : AGAIN_MS) {
             loop.at(loop.nowMs() + afterMs, () -> {
                 boolean inUse = entry.outAt(engine) || entry.holds.contains(engine) || entry.winner != null;
@@ -95,7 +110,8 @@
     }
 
     private void free(long engine, Entry entry) {
-        engines.release(engine, fleet.allReady(), entry.ask.id(), loop.nowMs() + entry.terms.pinLimitMs());
+        engines.release(engine, fleet.allReady(), entry.ask.id(), loop.nowMs() + entry.terms.pinLimitMs(),
+                () -> entry.answered || entry.holds.isEmpty());
     }
 
     /** After each end of an attempt: leftovers of cut reads go, and a page that is done is closed. */
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -188,6 +188,11 @@
         return book.size() + inherited.size();
     }
 
+    /** Releases that are still to be said once more: a program that ended before would leave states held. */
+    public int lettingGo() {
+        return book.lettingGo();
+    }
+
     private void perform(Router.Action action) {
         if (action instanceof Router.Send order) send.attempt(order);
         else if (action instanceof Router.Cancel order) send.cancel(order);
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import maplerail.Router;
 
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
@@ -10,9 +11,10 @@
 
     /**
      * Lets go of what is held for a request, trying again up to a time. The call goes to the engine that may hold it,
-     * and where that can't be heard also to one of the others: on the platform any of them lets go of everything.
+     * and where that can't be heard also to some of the others, for as long as {@code elsewhere} allows: on the platform
+     * any of them lets go of everything, of what has come to be held since as well.
      */
-    void release(long engine, Set<Long> others, String id, double untilMs);
+    void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier elsewhere);
 
     /** An attempt on its way. */
     interface Sending {
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -1,8 +1,11 @@
 package maplerail.core;
 
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** The book's page on one request: its attempts, its answer and what engines may hold for it. */
@@ -13,9 +16,14 @@
     final double deadlineMs;
     final Terms terms;
     final List<Try> tries = new ArrayList<>();
-    /** Engines at which a state may wait, and those of them that said so. */
-    final Set<Long> mayHold = new LinkedHashSet<>();
+    /** Engines at which a state may wait, each with when its last read ended; those of them that said so. */
+    final Map<Long, Double> mayHold = new LinkedHashMap<>();
     final Set<Long> holds = new LinkedHashSet<>();
+    /** Readers whose answer broke off or was spoilt: they may be reading still, and nobody has told them to stop. */
+    final Set<Long> broken = new HashSet<>();
+    /** Since when nothing that was written is out for a state that is held, and whether one was let go for that. */
+    double heldMs;
+    boolean lapsed;
     boolean admitted;
     boolean answered;
     double lastCutMs = Double.NEGATIVE_INFINITY;
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -11,6 +11,8 @@
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class Send {
     private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
+    /** Past the settings' time a state may be held for 300 ms more on sockets; this leaves the rest for its release. */
+    private static final double HELD_SLACK_MS = 180;
 
     private final Engines engines;
     private final Loop loop;
@@ -46,6 +48,10 @@
             ended(attempt, Outcome.NOT_SENT, 0);
             return;
         }
+        if (entry.lapsed && !attempt.reader) {
+            ended(attempt, Outcome.STATE_GONE, 0);
+            return;
+        }
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
         attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
             @Override
@@ -79,7 +85,8 @@
             attempt.timeout.cancel();
             watch(attempt, entry.ask.cargo().stallMs());
             entry.guard.cancel();
-            entry.mayHold.clear();
+            // What is held goes by itself now; what a reader that was not told to stop leaves later does not.
+            entry.mayHold.keySet().retainAll(entry.broken);
             entry.holds.clear();
             route.tell(new Router.FirstToken(entry.number, attempt.number, attempt.engine,
                     loop.nowMs() - attempt.sentMs));
@@ -139,6 +146,29 @@
         }
     }
 
+    /** A state is held from now on, or again, as what was out for it has ended. */
+    private void hold(Entry entry) {
+        entry.heldMs = loop.nowMs();
+        loop.at(entry.heldMs + entry.terms.pinLimitMs() + HELD_SLACK_MS, () -> lapse(entry));
+    }
+
+    /**
+     * Guards against a state that is held while one connection after another fails to come up: a write takes it only
+     * once it has arrived. It is let go, and the module hears what a writer would tell it then: the state is gone.
+     */
+    private void lapse(Entry entry) {
+        boolean held = !entry.holds.isEmpty() && !entry.answered && entry.winner == null;
+        boolean waits = loop.nowMs() >= entry.heldMs + entry.terms.pinLimitMs() + HELD_SLACK_MS;
+        if (!held || !waits || entry.tries.stream().anyMatch(t -> !t.ended && !t.sending.unsent())) return;
+        entry.lapsed = true;
+        book.letGoHeld(entry);
+        for (Entry.Try attempt : List.copyOf(entry.tries)) {
+            if (attempt.ended) continue;
+            attempt.sending.abort();
+            ended(attempt, Outcome.STATE_GONE, 0);
+        }
+    }
+
     private void cut(Entry.Try attempt, Outcome outcome) {
         if (attempt.ended) return;
         Outcome proven = attempt.sending.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
@@ -149,14 +179,20 @@
 
     private void ended(Entry.Try attempt, Outcome outcome, double kept) {
         if (attempt.ended) return;
+        boolean wasOut = outcome != Outcome.UNREACHABLE && outcome != Outcome.NOT_SENT;
         attempt.ended = true;
         touched.add(attempt.entry);
         if (attempt.timeout != null) attempt.timeout.cancel();
         Entry entry = attempt.entry;
         boolean read = outcome == Outcome.READ;
-        if (read) entry.holds.add(attempt.engine);
+        if (read) {
+            entry.holds.add(attempt.engine);
+            entry.lapsed = false;
+        }
+        if (read || wasOut && !entry.holds.isEmpty()) hold(entry);
         // A read that was cut off may have ended well just then.
-        if (read || attempt.reader && !outcome.neverRan) entry.mayHold.add(attempt.engine);
+        if (read || attempt.reader && !outcome.neverRan) entry.mayHold.put(attempt.engine, loop.nowMs());
+        if (attempt.reader && (outcome == Outcome.RESET || outcome == Outcome.ERROR)) entry.broken.add(attempt.engine);
         // An answer may be whole without an event; it is the caller's all the same.
         if (outcome == Outcome.SERVED && entry.winner == null && !entry.answered) entry.winner = attempt;
         if (entry.winner == attempt) relay.ended(attempt, outcome);
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -16,7 +16,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import maplerail.Router;
 import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
@@ -25,15 +27,19 @@
 import maplerail.core.Ask;
 import maplerail.core.Engines;
 import maplerail.core.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.StreamConnection;
 
 /** Attempts and releases on the platform's wire. */
 public final class EngineClient implements Engines {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
+    private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
     private static final double AGAIN_MS = 60; // between two tries at a release
-    private static final double SILENT_MS = 200; // after which a release that was not answered is tried again
-    private static final int MOST_LEFT = 256; // engines that left, the last of which are remembered
-    private static final int MOST_OTHERS = 3; // told of a release that its engine can't be told of
+    private static final double SILENT_MS = 150; // after which a release that was not answered is tried again
+    private static final double ELSEWHERE_MS = 80; // after which it is said to another engine too, and to the next
+    private static final int MOST_LEFT = 2_048; // engines that left, the last of which are remembered
+    private static final int MOST_OTHERS = 6; // told of a release that its engine can't be told of
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
@@ -41,6 +47,7 @@
     private final XnioLoop loop;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Map<Long, InetSocketAddress> left = new LinkedHashMap<>();
+    private int releasing;
 
     /** Makes a client that opens its connections from a pool. */
     public EngineClient(Pool pool) {
@@ -166,91 +173,124 @@
     }
 
     @Override
-    public void release(long engine, Set<Long> others, String id, double untilMs) {
+    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier elsewhere) {
         InetSocketAddress to = address(engine);
         if (to == null) return;
-        Release release = new Release(to, "/internal/reservations/" + id, untilMs);
-        others.stream().sorted(Comparator.comparingLong(other -> (other ^ id.hashCode()) * SPREAD)).map(this::address)
-                .filter(other -> other != null && !other.equals(to)).limit(MOST_OTHERS).forEach(release.others::add);
-        release.attempt();
+        new Release(to, others, id, untilMs, elsewhere).start();
+    }
+
+    /** Releases that nobody has taken yet and that still may be. */
+    public int releasing() {
+        return releasing;
     }
 
     /**
      * A release goes on until it is answered or too late: the time runs while connections fail to come up. Guards
-     * against a reader that has left with a state that is still accounted for: what can't be said there is said to
-     * another engine too.
+     * against a reader that has left with a state that is still accounted for, or that hangs: what is not heard there
+     * soon is said to other engines too, one after the other, as any of them may hang as well. First come those that
+     * answered here last.
      */
-    private final class Release implements Reply {
+    private final class Release {
         private final InetSocketAddress to;
-        private final String target;
+        private final Set<Long> known;
+        private final String id;
         private final double untilMs;
-        private final ArrayDeque<InetSocketAddress> others = new ArrayDeque<>();
-        private Call call;
-        private Loop.Alarm silence;
+        private final BooleanSupplier elsewhere;
+        private ArrayDeque<InetSocketAddress> others;
+        private boolean heard;
+        private boolean over;
 
-        Release(InetSocketAddress to, String target, double untilMs) {
+        Release(InetSocketAddress to, Set<Long> known, String id, double untilMs, BooleanSupplier elsewhere) {
             this.to = to;
-            this.target = target;
+            this.known = Set.copyOf(known);
+            this.id = id;
             this.untilMs = untilMs;
+            this.elsewhere = elsewhere;
         }
 
-        void attempt() {
-            call = pool.start(to, Requests.to(to, Methods.DELETE, target), new byte[0], this);
-            silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
+        void start() {
+            releasing++;
+            loop.at(untilMs, this::over);
+            say(to, true);
+            loop.at(loop.nowMs() + ELSEWHERE_MS, this::elsewhere);
         }
 
-        private void silent() {
-            // One that still waits for a connection keeps its place; the pool says so when it has none in time.
-            if (call.unsent()) {
-                silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
-                return;
-            }
-            call.abort();
-            again(0);
+        private void over() {
+            if (over) return;
+            over = true;
+            releasing--;
+            if (!heard) LOG.debug("{}: the release for {} was heard by nobody", to, id);
         }
 
-        private void again(double afterMs) {
-            silence.cancel();
-            elsewhere();
-            if (loop.nowMs() + afterMs < untilMs) loop.at(loop.nowMs() + afterMs, this::attempt);
+        private void say(InetSocketAddress engine, boolean own) {
+            if (over || loop.nowMs() >= untilMs) return;
+            Word word = new Word(engine, own);
+            word.call = pool.start(engine, Requests.to(engine, Methods.DELETE, "/internal/reservations/" + id), new byte[0], word);
+            word.silence = loop.at(loop.nowMs() + SILENT_MS, word::silent);
         }
 
         private void elsewhere() {
+            if (heard || over || !elsewhere.getAsBoolean()) return;
+            if (others == null) others = order();
             InetSocketAddress other = others.poll();
             if (other == null) return;
-            pool.start(other, Requests.to(other, Methods.DELETE, target), new byte[0], new Reply() {
-                @Override
-                public void head(int status, HeaderMap headers) {
-                    others.clear();
-                }
+            say(other, false);
+            loop.at(loop.nowMs() + ELSEWHERE_MS, this::elsewhere);
+        }
 
-                @Override
-                public void body(ByteBuffer piece) { }
+        private ArrayDeque<InetSocketAddress> order() {
+            Map<InetSocketAddress, Double> quiet = new HashMap<>();
+            for (long engine : known) {
+                InetSocketAddress address = address(engine);
+                if (address != null && !address.equals(to)) quiet.put(address, loop.nowMs() - pool.idleSinceMs(address));
+            }
+            return quiet.keySet().stream().sorted(Comparator.<InetSocketAddress>comparingDouble(quiet::get)
+                    .thenComparingLong(address -> (address.hashCode() ^ id.hashCode()) * SPREAD))
+                    .limit(MOST_OTHERS).collect(Collectors.toCollection(ArrayDeque::new));
+        }
 
-                @Override
-                public void end() { }
+        /** One call of the release at one engine. */
+        private final class Word implements Reply {
+            private final InetSocketAddress engine;
+            private final boolean own;
+            private Call call;
+            private Loop.Alarm silence;
 
-                @Override
-                public void failed(boolean neverSent) {
-                    if (loop.nowMs() < untilMs) elsewhere();
+            Word(InetSocketAddress engine, boolean own) {
+                this.engine = engine;
+                this.own = own;
+            }
+
+            private void silent() {
+                // One that still waits for a connection keeps its place; the pool says so when it has none in time.
+                if (call.unsent()) {
+                    silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
+                    return;
                 }
-            });
-        }
+                LOG.debug("{}: no answer to the release for {}", engine, id);
+                call.abort();
+                if (own) say(to, true);
+            }
 
-        @Override
-        public void head(int status, HeaderMap headers) {
-            silence.cancel();
-        }
+            @Override
+            public void head(int status, HeaderMap headers) {
+                silence.cancel();
+                heard = true;
+                if (own) over();
+            }
 
-        @Override
-        public void body(ByteBuffer piece) { }
+            @Override
+            public void body(ByteBuffer piece) { }
 
-        @Override
-        public void end() { }
+            @Override
+            public void end() { }
 
-        @Override
-        public void failed(boolean neverSent) {
-            again(AGAIN_MS);
+            @Override
+            public void failed(boolean neverSent) {
+                silence.cancel();
+                LOG.debug("{}: the release for {} failed", engine, id);
+                if (own && !over) loop.at(loop.nowMs() + AGAIN_MS, () -> say(to, true));
+            }
         }
     }
 }
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -205,6 +205,13 @@
         if (sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
     }
 
+    /** When the connection there that is idle and was used last became so: an answer came then; long ago if there is none. */
+    double idleSinceMs(InetSocketAddress to) {
+        ArrayDeque<Link> kept = idle.get(to);
+        Link last = kept == null ? null : kept.peekLast();
+        return last != null && last.open() ? last.idleSinceMs : Double.NEGATIVE_INFINITY;
+    }
+
     /** Connections that are open or on their way. */
     int open() {
         return links.size() + connectingInAll;
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import maplerail.Router.Outcome;
 import maplerail.config.Json;
 import maplerail.core.Ask;
@@ -144,5 +145,5 @@
 
     /** Tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, Set<Long> others, String id, double untilMs) { }
+    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier elsewhere) { }
 }
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -91,6 +91,21 @@
         }
     }
 
+    /** A read broke just before the end: its reader may leave a state after the first release, which nobody else would let go. */
+    @Test
+    void releasesAreSaidToTheirEndBeforeTheExit() throws Exception {
+        try (StandIn reader = new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reply(204, "");
+            else x.reset();
+        }); StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start()) {
+            assertThat(world.exchange(request("a1", "lookup", "0.4"))).startsWith("HTTP/1.1 50");
+            world.gateway.drain();
+            world.gateway.join();
+            assertThat(reader.count("DELETE")).isGreaterThanOrEqualTo(6);
+        }
+    }
+
     @Test
     void connectionsThatEndedInMidRequestDoNotHoldUpTheExit() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
