A watch that is lost is opened anew at once, and a new process hears the agent before it serves

A new process listened before its first call, which it put off by up to 0.2 s, and sent by the list in its configuration meanwhile.

Now Asking decides, without socket or clock: a watch at an agent waits 2 to 3 s and is given up 0.4 s later; from a failure to the next answer there is a call every 0.1 s, so that an agent that comes back is met at once; a list older than ours is not believed for 2 s and counted (lists_rejected). A service for all, which must be asked for lists, keeps its backoff. A start waits up to 1 s for the agent's first answer before it listens. Calls for lists have connections of their own.

The tests of a silent, reset and unreachable agent and of a stale list were seen to fail without (PlatformWatchTest). The lab's faults are in force when set() returns; LabIT met the news of a moment before.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import maplerail.Logic;
 import maplerail.Router;
@@ -93,17 +94,21 @@
     private static final double LEFT_MS = 450; // before the end by force, when those that were not handed on are left,
     private static final int LEFT_STEPS = 3; // in so many steps
     private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
+    private static final int LIST_SOCKETS = 10; // to discovery: never short of them, whatever engines and clients hold
+    private static final long FIRST_LIST_MS = 1_000; // that a start waits for the agent's first answer before it listens
 
     private volatile NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
     private final Handover handover;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final CountDownLatch listed = new CountDownLatch(1);
     private final XnioWorker worker;
     private final XnioLoop loop;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 512, 0);
     private final Admit admit;
     private final Pool pool;
+    private final Pool lists;
     private final Broker broker;
     private final EngineClient engines;
     private final PlatformFront front;
@@ -148,16 +153,17 @@
         int sockets = config.wire().sockets();
         int tooling = on ? sockets * (RPC_PERCENT + TOOLS_PERCENT) / 100 : 0;
         pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(),
-                sockets - OWN_SOCKETS - (config.admin() == null ? 0 : AdminDoor.DESCRIPTORS) - sockets * CLIENT_PERCENT / 100
+                sockets - OWN_SOCKETS - LIST_SOCKETS - (config.admin() == null ? 0 : AdminDoor.DESCRIPTORS) - sockets * CLIENT_PERCENT / 100
                 - tooling);
+        lists = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(), LIST_SOCKETS);
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         admit = new Admit(Budgets.open(config.wire().maxOpen()), loop,
                 new SplittableRandom(settings.seed() ^ ADVICE_DRAWS));
         broker = new Broker(module(settings), settings, admit, loop, engines, line -> LOG.info("{}", line), metrics, config.names().classes());
         front = new PlatformFront(broker, config.names(), lifecycle);
-        watch = new PlatformWatch(pool, loop, config.discovery(), config.names(),
-                new SplittableRandom(settings.seed() ^ WATCH_DRAWS), this::hear);
+        watch = new PlatformWatch(lists, loop, config.discovery(), config.names(), !settings.askForList(),
+                new SplittableRandom(settings.seed() ^ WATCH_DRAWS), this::hear, metrics::listRejected);
         tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100,
                 metrics) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle, loop)
@@ -245,6 +251,7 @@
         });
         if (exchange != null) loop.execute(this::listenToPeers);
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
+        awaitList();
         server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
         if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
         if (handover != null && config.inherited()) {
@@ -257,6 +264,20 @@
         if (rpc != null) LOG.info("tool calls come in at {}", rpcAddress());
     }
 
+    /**
+     * Guards against sends to engines that began to leave while no process of this gateway ran: what the agent has
+     * counts as told from this one's first moment, and the list in the configuration may be old. Silent, it says nothing
+     * that could be obeyed, and what is known has to do.
+     */
+    private void awaitList() {
+        if (config.settings().askForList() || config.known() == null) return;
+        try {
+            if (!listed.await(FIRST_LIST_MS, TimeUnit.MILLISECONDS)) LOG.warn("discovery is silent: serving by the list in the configuration");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
     private AcceptingChannel<?> listen(InetSocketAddress at, HttpHandler handler, int percent, Consumer<Door> through)
             throws IOException {
@@ -285,6 +306,7 @@
     }
 
     private void hear(EngineList list) {
+        listed.countDown();
         engines.hear(list);
         broker.members(view.hear(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
                 list.version(), list.members())));
@@ -309,6 +331,7 @@
             NodeConfig.Wire wire = news.wire();
             admit.retune(Budgets.open(wire.maxOpen()));
             pool.retune(wire.connIdleMs(), wire.connectTimeoutMs());
+            lists.retune(wire.connIdleMs(), wire.connectTimeoutMs());
             broker.retune(shared(settings), news.names().classes());
             front.retune(news.names());
             if (rpc != null) rpc.retune(news.names());
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -1,6 +1,5 @@
 package maplerail.discovery;
 
-import io.undertow.client.ClientRequest;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -11,6 +10,8 @@
 import maplerail.config.EngineList;
 import maplerail.config.Names;
 import maplerail.config.Tree;
+import maplerail.discovery.Asking.Kind;
+import maplerail.discovery.Asking.Query;
 import maplerail.net.Call;
 import maplerail.net.Pool;
 import maplerail.net.Requests;
@@ -20,82 +21,90 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Watches the platform's list: each next call follows the last answer at once, well within 200 ms. A call that fails
- * is followed by another after a {@link Backoff}; the version that is known is kept, so that changes are asked for
- * and not the whole list, which costs discovery a line an engine.
+ * Watches the platform's list: makes the calls that {@link Asking} wants and tells the lists that it believes. Each next
+ * call follows the last answer at once, well within 200 ms; the version that is known is kept over failures, so that
+ * changes are asked for and not the whole list, which costs discovery a line an engine.
  */
 public final class PlatformWatch {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
-    private static final double WAIT_MS = 15_000; // an answer that was lost is missed for no longer
-    private static final double WAIT_SPREAD_MS = 5_000; // more, by chance: waits begun by one change end apart
-    /** Past its wait, after which a call is held to be lost. One given up sooner takes its place in turn twice. */
-    private static final double GRACE_MS = 2_000;
-    private static final double WHOLE_MS = 4_000; // the same for a call that does not wait
-    private static final double AGAIN_MS = 200;
-    private static final double MOST_AGAIN_MS = 4_000;
-    private static final double START_SPREAD_MS = 200; // of first calls: a fleet may start at one moment
     private static final double SOON_MS = 100; // for no news: a wait that ends at once would be a busy loop
-    private static final double DOUBT_MS = 2_000; // after a move, in which a list older than ours is not believed
 
     private final Pool pool;
     private final XnioLoop loop;
     private InetSocketAddress at;
     private final Names names;
     private final Consumer<EngineList> news;
-    private final Backoff backoff;
-    private long version = -1;
+    private final Runnable rejected;
+    private final boolean agent;
+    private final SplittableRandom random;
+    private Asking asking;
     private long newest = -1; // of what was told at any address
-    private double doubtUntilMs = Double.NEGATIVE_INFINITY;
+    private int turn; // counts up when what is out has been answered, or its address left
 
-    /** Makes a watch that tells each piece of news. */
-    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, SplittableRandom random,
-            Consumer<EngineList> news) {
+    /**
+     * Makes a watch that tells each piece of news, and each answer that was no list to be believed; {@code agent} tells
+     * that the list is pushed to an agent on this machine.
+     */
+    public PlatformWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Names names, boolean agent, SplittableRandom random,
+            Consumer<EngineList> news, Runnable rejected) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.names = names;
+        this.agent = agent;
+        this.random = random;
         this.news = news;
-        this.backoff = new Backoff(random, AGAIN_MS, MOST_AGAIN_MS);
+        this.rejected = rejected;
     }
 
     /** Watches for good: for what is newer than a list that is known, or from the whole list if none (null) is. */
     public void start(EngineList known) {
-        if (known != null && !known.members().isEmpty()) version = known.version();
-        newest = version;
-        InetSocketAddress first = at;
-        loop.at(loop.nowMs() + (version < 0 ? 0 : backoff.spread(START_SPREAD_MS)), () -> {
-            if (first.equals(at)) ask();
-        });
-    }
-
-    private void ask() {
-        boolean whole = version < 0;
-        long waitMs = Math.round(whole ? 0 : WAIT_MS + backoff.spread(WAIT_SPREAD_MS));
-        String target = "/api/targets" + (whole ? "" : "?index=" + version + "&wait=" + waitMs);
-        LOG.debug("asking {}", target);
-        new Asked().start(Requests.to(at, Methods.GET, target), whole ? WHOLE_MS : waitMs + GRACE_MS);
+        if (known != null && !known.members().isEmpty()) newest = known.version();
+        asking = new Asking(agent, newest, random);
+        later(asking.firstMs());
     }
 
     /** Asks at another address from now on. The call that is still out at the old one is heard to its end. */
     public void move(InetSocketAddress to) {
         if (to.equals(at)) return;
         at = to;
-        version = -1;
-        backoff.answered();
-        doubtUntilMs = loop.nowMs() + DOUBT_MS;
+        asking.moved();
         ask();
     }
 
+    private void ask() {
+        int mine = ++turn;
+        Query query = asking.next();
+        LOG.debug("asking {}{}", at, query.target());
+        new Asked(mine).start(query);
+        if (asking.pressMs() < query.withinMs()) {
+            loop.at(loop.nowMs() + asking.pressMs(), () -> {
+                if (mine == turn) ask();
+            });
+        }
+    }
+
+    private void later(double afterMs) {
+        int mine = ++turn;
+        loop.at(loop.nowMs() + afterMs, () -> {
+            if (mine == turn) ask();
+        });
+    }
+
     private final class Asked extends TextReply {
         private final InetSocketAddress asked = at;
-
         private final double sentMs = loop.nowMs();
-        private double askedMs;
+        private final int mine;
+        private double againMs = Double.NaN;
+
+        Asked(int mine) {
+            this.mine = mine;
+        }
 
-        void start(ClientRequest request, double withinMs) {
-            Call call = pool.start(at, request, new byte[0], this);
+        void start(Query query) {
+            Call call = pool.start(at, Requests.to(at, Methods.GET, query.target()), new byte[0], this);
             // Guards against an agent that was cut off: its connection would stay open and silent.
-            loop.at(loop.nowMs() + withinMs, () -> expire(call));
+            loop.at(loop.nowMs() + query.withinMs(), () -> expire(call));
         }
 
         @Override
@@ -105,41 +114,51 @@
                 if (status != 200) {
                     // No room there, or down: what is known stays true, and so does its version.
                     LOG.warn("discovery: status {}", status);
-                    askedMs = retryAfterMs(headers.getFirst(Headers.RETRY_AFTER));
+                    if (mine == turn) againMs = asking.refusedMs(retryAfterMs(headers.getFirst(Headers.RETRY_AFTER)));
                     return false;
                 }
                 list = EngineList.read(Tree.object("list", text), names);
             } catch (ConfigException e) {
                 LOG.warn("discovery: {}", e.getMessage());
-                if (asked.equals(at)) version = -1;
+                rejected.run();
+                if (mine == turn) againMs = asking.unreadMs();
                 return false;
             }
-            // Guards against a new agent that has yet to hear of what ours had told: engines that drain would be
-            // listed as ready once more.
-            boolean older = list.version() < newest && loop.nowMs() < doubtUntilMs;
-            if (asked.equals(at)) {
-                if (older) return false;
-                boolean idle = list.version() <= version && list.members().isEmpty() && loop.nowMs() - sentMs < SOON_MS;
-                version = list.version();
-                if (idle) return false;
-                backoff.answered();
-                ask();
+            if (!asked.equals(at)) {
+                // The old agent is told no more than the new one, and what it says late may be overtaken.
+                if (list.version() > newest) tell(list);
+                return true;
             }
-            if (older) return true;
-            newest = list.version();
-            news.accept(list);
+            // The answer to an earlier look: what has come since was asked for later and says all of it.
+            if (mine != turn && list.version() <= newest) return true;
+            boolean watched = !asking.looking();
+            Kind kind = asking.heard(list.version(), list.whole(), newest, loop.nowMs());
+            if (kind == Kind.OLDER) {
+                LOG.warn("discovery: list {} is older than {}, which is known", list.version(), newest);
+                rejected.run();
+                later(asking.failedMs());
+                return true;
+            }
+            boolean nothing = kind == Kind.NOTHING && list.members().isEmpty();
+            if (nothing && watched && loop.nowMs() - sentMs < SOON_MS) later(SOON_MS);
+            else ask();
+            // Nothing new is told too: an answer is what a program that has just started waits for.
+            tell(list);
             return true;
         }
 
         @Override
         protected void none() {
-            if (!asked.equals(at)) return; // the other address has its own call out
-            loop.at(loop.nowMs() + backoff.next(askedMs), () -> {
-                if (asked.equals(at)) ask();
-            });
+            if (mine != turn) return; // the other address has its own call out, or this one a later look
+            later(Double.isNaN(againMs) ? asking.failedMs() : againMs);
         }
     }
 
+    private void tell(EngineList list) {
+        newest = list.version();
+        news.accept(list);
+    }
+
     /** Seconds, whole or decimal; 0 if none, or none that can be read, are told. */
     private static double retryAfterMs(String told) {
         return told != null && told.matches("[0-9]{1,9}(\\.[0-9]{1,9})?") ? Double.parseDouble(told) * 1_000 : 0;
--- a/src/main/java/maplerail/lab/FaultNet.java
+++ b/src/main/java/maplerail/lab/FaultNet.java
@@ -19,6 +19,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +39,7 @@
     private static final int BUFFER = 16 * 1024;
     private static final int MOST_WAITING = 256 * 1024; // bytes of one direction, from which its sender is not read
     private static final int MOST_CONNECTIONS = 4_096; // descriptors are limited; past that new ones are reset
+    private static final long MOST_SET_S = 10; // that a fault may take to be in force
     private static final long NS = 1_000_000;
     private static final long SLOW_STEP_MS = 20; // in which a slow link passes its share at once
 
@@ -213,16 +216,23 @@
             far = other;
         }
 
-        /** What is wrong with it from now on. */
+        /** What is wrong with it from now on: it is in force on return, so that nothing said later still passes. */
         public void set(Fault next) {
             LOG.info("{}: {}", name, next);
+            CountDownLatch set = new CountDownLatch(1);
             execute(() -> {
                 fault = next;
                 for (Pair pair : List.copyOf(pairs)) {
                     if (next.reset) pair.reset("reset");
                     else pair.wake();
                 }
+                set.countDown();
             });
+            try {
+                if (!set.await(MOST_SET_S, TimeUnit.SECONDS)) LOG.warn("{}: not set", name);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
 
         /** What is wrong with it now. */
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -20,6 +20,7 @@
     private final AtomicLong open = new AtomicLong();
     private final AtomicLong loaded = new AtomicLong();
     private final AtomicLong invalid = new AtomicLong();
+    private final AtomicLong lists = new AtomicLong();
     private volatile int listed;
     private volatile int avoided;
     private volatile long[] peers; // sent, bytes sent, heard, dropped; null where gateways do not tell each other
@@ -71,6 +72,11 @@
         (accepted ? loaded : invalid).incrementAndGet();
     }
 
+    /** Discovery's answer was no list, or one older than what is known; what is known stays in force. */
+    public void listRejected() {
+        lists.incrementAndGet();
+    }
+
     /** Engines in the list, and those of them that get nothing now though the list would have it. */
     public void engines(int inList, int passedOver) {
         listed = inList;
@@ -115,6 +121,7 @@
         out.add(new Figure("cluster_unhealthy", avoided, false));
         out.add(new Figure("conf_loaded", loaded.get(), true));
         out.add(new Figure("conf_invalid", invalid.get(), true));
+        out.add(new Figure("lists_rejected", lists.get(), true));
         long[] moved = streams;
         if (moved != null) {
             out.add(new Figure("streams_taken_over", moved[0], true));
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -87,6 +87,52 @@
         }
     }
 
+    private static String drained(StandIn reader, StandIn leaving, StandIn other) {
+        return "{\"seq\":9,\"whole\":true,\"hosts\":[" + host("r", "prefill", reader) + ","
+                + host("w1", "decode", leaving).replace("in_service", "terminating") + "," + host("w2", "decode", other) + "]}";
+    }
+
+    /** What the agent has counts as told from a process's first moment: the list in its configuration may be old. */
+    @Test
+    void aNewProcessHearsTheAgentBeforeItServes() throws Exception {
+        try (StandIn reader = World.reader(); StandIn leaving = World.writer(); StandIn other = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    if (x.target.contains("index=9&wait=1&") || !x.target.contains("index=9")) {
+                        Thread.sleep(150);
+                        x.reply(200, drained(reader, leaving, other));
+                    } else x.awaitEnd();
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w1", "decode", leaving).discoveredBy(agent)) {
+            world.start();
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+            assertThat(leaving.count("POST")).isZero();
+            assertThat(other.count("POST")).isEqualTo(1);
+        }
+    }
+
+    /** A watch falls silent, is reset, or its agent is silent to all for a while: what it missed is asked for anew, at once. */
+    @ParameterizedTest
+    @ValueSource(strings = {"silent", "reset", "down"})
+    void aWatchThatIsLostIsOpenedAnew(String fault) throws Exception {
+        AtomicInteger lost = new AtomicInteger();
+        List<Long> asked = new CopyOnWriteArrayList<>();
+        try (StandIn reader = World.reader(); StandIn leaving = World.writer(); StandIn other = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    asked.add(System.nanoTime());
+                    if (x.target.contains("index=9")) x.awaitEnd();
+                    else if (asked.size() == 1) x.reply(200, "{\"seq\":3,\"whole\":false,\"hosts\":[]}");
+                    else if (lost.getAndIncrement() > (fault.equals("down") ? 12 : 0)) x.reply(200, drained(reader, leaving, other));
+                    else if (fault.equals("reset")) x.reset();
+                    else x.awaitEnd();
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w1", "decode", leaving).discoveredBy(agent)) {
+            world.start();
+            await("heard", () -> agent.count("GET /api/targets?index=9&") > 0);
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+            assertThat(leaving.count("POST")).isZero();
+        }
+    }
+
     private static String host(String name, String kind, StandIn at) {
         return "{\"host\":\"" + name + "\",\"dial\":\"" + at.address() + "\",\"site\":\"caerdydd\",\"class\":\"" + kind
                 + "\",\"block\":1,\"health\":\"in_service\"}";
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -44,8 +44,9 @@
     public World() throws IOException {
         discovery = new StandIn(exchange -> {
             int mark = exchange.target.indexOf("index=");
-            if (mark >= 0) awaitAfter(Long.parseLong(exchange.target.substring(mark + 6).split("&")[0]));
-            exchange.reply(200, list());
+            String[] asked = mark < 0 ? null : exchange.target.substring(mark + 6).split("&wait=");
+            boolean news = asked == null || awaitAfter(Long.parseLong(asked[0]), Long.parseLong(asked[1]));
+            exchange.reply(200, news ? list() : "{\"seq\":" + asked[0] + ",\"whole\":false,\"hosts\":[]}");
         });
     }
 
@@ -125,8 +126,12 @@
         return this;
     }
 
-    private synchronized void awaitAfter(long known) throws InterruptedException {
-        while (version <= known) wait();
+    private synchronized boolean awaitAfter(long known, long withinMs) throws InterruptedException {
+        for (long until = System.nanoTime() + withinMs * 1_000_000, left = withinMs; version <= known && left > 0;) {
+            wait(left);
+            left = (until - System.nanoTime()) / 1_000_000;
+        }
+        return version > known;
     }
 
     private synchronized String list() {
