News that has come is heard before a send goes out, though the loop is behind

Send.attempt and the pool, before a waiting call is written, now read what has come of the watch's answer out of its turn. Calls for lists use their connection again at once, so that the next watch needs no turn of the loop to come up.

Tests seen to fail without: BrokerTest (a send decided behind news), PoolTest (a call whose connection comes up behind news).

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -155,7 +155,8 @@
         pool = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(),
                 sockets - OWN_SOCKETS - LIST_SOCKETS - (config.admin() == null ? 0 : AdminDoor.DESCRIPTORS) - sockets * CLIENT_PERCENT / 100
                 - tooling);
-        lists = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(), LIST_SOCKETS);
+        lists = new Pool(loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(), LIST_SOCKETS)
+                .unsettled();
         engines = new EngineClient(pool);
         Router.Settings settings = config.settings();
         admit = new Admit(Budgets.open(config.wire().maxOpen()), loop,
@@ -164,6 +165,8 @@
         front = new PlatformFront(broker, config.names(), lifecycle);
         watch = new PlatformWatch(lists, loop, config.discovery(), config.names(), !settings.askForList(),
                 new SplittableRandom(settings.seed() ^ WATCH_DRAWS), this::hear, metrics::listRejected);
+        broker.freshen(watch::refresh);
+        pool.beforeUse(watch::refresh);
         tools = on ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100,
                 metrics) : null;
         rpc = on ? new RpcFront(toolsConfig, tools.brokers(), broker, config.names(), lifecycle, loop)
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -153,6 +153,11 @@
         return inherited.size();
     }
 
+    /** What takes in news of the engines that has come, before each attempt. */
+    public void freshen(Runnable how) {
+        send.freshen(how);
+    }
+
     /** Who hears how attempts ended: what gateways of a tier tell each other. */
     public void witness(Witness to) {
         send.witness(to);
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -23,6 +23,7 @@
     private final Set<Entry> touched = new LinkedHashSet<>();
     private Route route;
     private Witness witness;
+    private Runnable freshen = () -> { };
 
     Send(Engines engines, Loop loop, Fleet fleet, Book book, Relay relay, Metrics metrics) {
         this.engines = engines;
@@ -38,6 +39,8 @@
     }
 
     void attempt(Router.Send order) {
+        // Guards against a loop that is behind: what has been told by now counts, though its turn is yet to come.
+        freshen.run();
         Entry entry = book.find(order.id());
         if (entry == null) return;
         Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
@@ -203,6 +206,11 @@
                 loop.nowMs() - attempt.sentMs, kept, entry.answered, UNTOLD));
     }
 
+    /** What takes in news of the engines that has come, before each attempt. */
+    void freshen(Runnable how) {
+        freshen = how;
+    }
+
     /** Who hears how attempts ended, or null. */
     void witness(Witness to) {
         witness = to;
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -39,6 +39,7 @@
     private final SplittableRandom random;
     private Asking asking;
     private long newest = -1; // of what was told at any address
+    private Call latest;
     private int turn; // counts up when what is out has been answered, or its address left
 
     /**
@@ -72,6 +73,11 @@
         ask();
     }
 
+    /** Takes in an answer that has come already, before its turn on the loop: a send must not overtake the news. */
+    public void refresh() {
+        if (latest != null) latest.poll();
+    }
+
     private void ask() {
         int mine = ++turn;
         Query query = asking.next();
@@ -103,6 +109,7 @@
 
         void start(Query query) {
             Call call = pool.start(at, Requests.to(at, Methods.GET, query.target()), new byte[0], this);
+            latest = call;
             // Guards against an agent that was cut off: its connection would stay open and silent.
             loop.at(loop.nowMs() + query.withinMs(), () -> expire(call));
         }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -108,6 +108,11 @@
         pool.loop().execute(this::read);
     }
 
+    /** Reads what has come already, without waiting for its turn on the loop. */
+    public void poll() {
+        read();
+    }
+
     /** While it has no connection: when to give up waiting for one, and how. */
     void connecting(Loop.Alarm alarm, Runnable cancel) {
         calm();
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -42,6 +42,8 @@
     private final Set<Link> links = new HashSet<>();
     private int connectingInAll;
     private boolean sweeping;
+    private double settleMs = SETTLE_MS;
+    private Runnable beforeUse = () -> { };
 
     /** Makes a pool of at most so many connections, which the far side closes after being idle for some time. */
     public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most) {
@@ -51,6 +53,17 @@
         retune(connIdleMs, connectTimeoutMs);
     }
 
+    /** For a far side that says nothing that was not asked for: a connection may be used again at once. */
+    public Pool unsettled() {
+        settleMs = 0;
+        return this;
+    }
+
+    /** What is done before a call that waited for a connection is written: news may have come that it has to obey. */
+    public void beforeUse(Runnable what) {
+        beforeUse = what;
+    }
+
     /** Other times from now on. */
     public void retune(double connIdleMs, double connectTimeoutMs) {
         retireMs = connIdleMs * RETIRE_SHARE;
@@ -87,6 +100,8 @@
      * its requests would use up its attempts on engines that only wait for their connections to come up.
      */
     private void next(InetSocketAddress to) {
+        if (!queued.containsKey(to)) return;
+        beforeUse.run();
         ArrayDeque<Call> waiting = queued.get(to);
         if (waiting == null) return;
         waiting.removeIf(Call::done);
@@ -113,7 +128,7 @@
         for (Iterator<Link> last = kept.descendingIterator(); last.hasNext();) {
             Link link = last.next();
             double age = loop.nowMs() - link.idleSinceMs;
-            if (age < SETTLE_MS && link.open()) continue;
+            if (age < settleMs && link.open()) continue;
             last.remove();
             if (age < retireMs && link.quiet()) return link;
             link.close();
@@ -154,6 +169,7 @@
             return;
         }
         Link link = own(to, connection);
+        beforeUse.run();
         if (call.done()) keep(link);
         else call.on(link);
         next(to);
@@ -185,7 +201,7 @@
     void keep(Link link) {
         link.idle(loop.nowMs());
         idle.computeIfAbsent(link.to, t -> new ArrayDeque<>()).addLast(link);
-        if (queued.containsKey(link.to)) loop.at(loop.nowMs() + SETTLE_MS, () -> next(link.to));
+        if (queued.containsKey(link.to)) loop.at(loop.nowMs() + settleMs, () -> next(link.to));
         if (!sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
         sweeping = true;
     }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -547,6 +547,15 @@
         assertThat(released).isEmpty();
     }
 
+    /** A loop that is behind decides before it hears what has come: the news counts from when it was told. */
+    @Test
+    void whatIsDecidedBeforeNewsThatHasComeObeysItToo() {
+        broker.freshen(() -> list(State.DRAINING));
+        take("a", send(WRITER));
+        assertThat(out).isEmpty();
+        assertThat(outcomes()).containsExactly(Outcome.NOT_SENT);
+    }
+
     @Test
     void whatHasNotGoneOutObeysADrain() {
         take("a", send(WRITER));
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -133,6 +133,25 @@
         }
     }
 
+    /** Discovery moves, and the new agent is silent at first; engines leave right after. */
+    @Test
+    void anAgentThatIsSilentAfterAMoveIsLookedAtUntilItAnswers() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (StandIn reader = World.reader(); StandIn leaving = World.writer(); StandIn other = World.writer();
+                StandIn agent = new StandIn(x -> {
+                    if (x.target.contains("index=9") || asked.incrementAndGet() < 12) x.awaitEnd();
+                    else x.reply(200, drained(reader, leaving, other));
+                });
+                World world = new World().engine("r", "prefill", reader).engine("w1", "decode", leaving);
+                World moved = new World().discoveredBy(agent)) {
+            world.start();
+            world.gateway.reload(NodeConfig.read(moved.config("127.0.0.1:0"), Map.of()));
+            await("heard", () -> agent.count("GET /api/targets?index=9&") > 0);
+            assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
+            assertThat(leaving.count("POST")).isZero();
+        }
+    }
+
     private static String host(String name, String kind, StandIn at) {
         return "{\"host\":\"" + name + "\",\"dial\":\"" + at.address() + "\",\"site\":\"caerdydd\",\"class\":\"" + kind
                 + "\",\"block\":1,\"health\":\"in_service\"}";
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -214,6 +214,27 @@
         }
     }
 
+    /** A connection came up, or one became free, behind news that its engine leaves: the news is taken in first. */
+    @Test
+    void aCallThatWaitedHearsTheNewsBeforeItIsWritten() throws Exception {
+        try (StandIn server = World.reader()) {
+            Pool pool = pool(30_000);
+            loop.execute(() -> {
+                Call[] call = new Call[1];
+                pool.beforeUse(() -> call[0].abort());
+                call[0] = pool.start(server.socketAddress(), request(server.socketAddress()), new byte[0], new Heard(heard));
+                loop.at(loop.nowMs() + 1, () -> awaitIdle(pool, server));
+            });
+            assertThat(take(heard)).isEqualTo("idle");
+            assertThat(server.seen).isEmpty();
+        }
+    }
+
+    private void awaitIdle(Pool pool, StandIn server) {
+        if (pool.idleSinceMs(server.socketAddress()) > 0) heard.add("idle");
+        else loop.at(loop.nowMs() + 1, () -> awaitIdle(pool, server));
+    }
+
     /** Any number of engines may hang together: one that answered lately is told before others, and all in time. */
     @Test
     void aReleaseGoesPastEnginesThatHang() throws Exception {
