Room for 1,024 engines and gateways in every list, tried in the run line's memory

JarIT starts the run line with 1,024 peers and an agent that tells of 1,024 engines, indented, again and again, and has it serve 200 requests.

--- a/src/main/java/maplerail/fleet/Membership.java
+++ b/src/main/java/maplerail/fleet/Membership.java
@@ -43,7 +43,7 @@
     private static final int FANOUT = 2; // gateways pinged in a period for the sake of news alone
     private static final int DEAD_EVERY = 4; // periods: a ping to one held dead, so that a healed cut is seen
     private static final int SUSPECTS_TOLD = 3; // a period, beside the ping that is due
-    private static final int MOST_RELAYS = 64;
+    private static final int MOST_RELAYS = 2_048; // asked of us and not answered yet
     private static final double FLOOD_PER_S = 40; // datagrams from one gateway that are looked at
     private static final double STALL_PERIODS = 3; // past its time, that a tick means that we had stopped ourselves
 
--- a/src/main/java/maplerail/fleet/Outliers.java
+++ b/src/main/java/maplerail/fleet/Outliers.java
@@ -40,7 +40,7 @@
     static final double HELD_SHARE = 0.25; // of a role, at the most
     private static final int LEAST_ROLE = 3; // engines, from which one of a role may be held
     private static final int OWN_GOOD = 2; // own good answers, with no bad one, that speak for an engine
-    private static final int MOST_REPORTS = 256; // of one engine in a window
+    private static final int MOST_REPORTS = 4_096; // of one engine in a window
     private static final int FACT = 6;
 
     private record Report(int from, double atMs, int failures, int good) { }
--- a/src/main/java/maplerail/lab/Rig.java
+++ b/src/main/java/maplerail/lab/Rig.java
@@ -26,7 +26,7 @@
  */
 public final class Rig implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Rig.class);
-    private static final int MOST_GATEWAYS = 64; // processes on one machine
+    private static final int MOST_GATEWAYS = 1_024; // processes on one machine
     private static final long READY_MS = 30_000;
     private static final long POLL_MS = 20;
     private static final int SAY_MS = 1_000;
--- a/src/main/java/maplerail/lab/Wire.java
+++ b/src/main/java/maplerail/lab/Wire.java
@@ -16,7 +16,7 @@
 
 /** HTTP/1.1 as the lab's stand-ins speak it: a thread for each connection, blocking, on loopback. Not for service. */
 final class Wire {
-    private static final int MOST_BODY = 1 << 20;
+    private static final int MOST_BODY = 4 << 20;
 
     private Wire() { }
 
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import maplerail.support.StandIn;
@@ -92,6 +93,55 @@
         }
     }
 
+    /** The largest lists there may be, in the memory of the run line: heard, served from, and heard again. */
+    @Test
+    void aThousandEnginesAndAThousandPeersFit() throws Exception {
+        int many = 1_024;
+        AtomicInteger version = new AtomicInteger(5);
+        try (StandIn reader = World.reader(); StandIn writer = World.writer(); StandIn agent = new StandIn(x -> {
+            int now = version.get();
+            if (x.target.contains("index=" + now + "&") && !x.target.endsWith("wait=1")) {
+                x.awaitEnd();
+                return;
+            }
+            StringBuilder list = new StringBuilder("{\n  \"seq\": " + now + ",\n  \"whole\": true,\n  \"hosts\": [\n");
+            for (int i = 0; i < many; i++) {
+                list.append(i == 0 ? "" : ",\n").append("    {\n      \"host\": \"s-").append(i).append("\",\n      \"dial\": \"")
+                        .append((i % 2 == 0 ? reader : writer).address()).append("\",\n      \"site\": \"caerdydd\",\n      \"class\": \"")
+                        .append(i % 2 == 0 ? "prefill" : "decode").append("\",\n      \"block\": ").append(i / 16)
+                        .append(",\n      \"health\": \"in_service\",\n      \"share\": 1.0,\n      \"born_ms\": 0\n    }");
+            }
+            x.reply(200, list.append("\n  ]\n}\n").toString());
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).discoveredBy(agent).admin()) {
+            List<String> members = new java.util.ArrayList<>();
+            for (int i = 0; i < many; i++) members.add("127.1." + i / 256 + "." + i % 256 + ":7946");
+            members.set(many - 1, "127.0.0.1:0");
+            world.peers(many - 1, "127.0.0.1:0", "127.0.0.1:9", members);
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start(line("run"), config.toString());
+            try {
+                await("listening", () -> port() > 0);
+                for (int i = 0; i < 200; i++) {
+                    if (i % 20 == 0) version.incrementAndGet();
+                    // A busy machine makes it refuse some: what counts is that it serves.
+                    String id = "a" + i;
+                    AtomicInteger tries = new AtomicInteger();
+                    await("served", () -> say(port(), World.request(id + "." + tries.incrementAndGet(), "lookup", "5.0"))
+                            .startsWith("HTTP/1.1 200"));
+                }
+                Matcher admin = Pattern.compile("answered at \\S*:(\\d+)\\s").matcher(log());
+                assertThat(admin.find()).isTrue();
+                assertThat(say(Integer.parseInt(admin.group(1)), "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n"))
+                        .contains("gateway.cluster_size:" + many + "|g");
+                assertThat(log()).doesNotContain("OutOfMemory");
+                assertThat(gateway.isAlive()).isTrue();
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     /** The machine's own way with SIGHUP would end the program. */
     @Test
     void aHangupMovesTheWatchAndKeepsWhatIsOpen() throws Exception {
