Releases go elsewhere only past what was not answered, and are repeated after breaks alone

To blame: Release.elsewhere took 80 ms without an answer for silence though the loop, behind, had not read the answer that was there, and called six more engines; Book.letGo repeated that five times for every cut read of the last 2 s. The more the loop was behind, the more calls it made.

Now an answer that has come is read before a release is held to be silent or said elsewhere, it goes to four others 100 ms apart, and it is repeated after a read that broke or a cut just now, as before. The test fails without (PoolTest).

--- a/src/main/java/maplerail/core/Book.java
+++ b/src/main/java/maplerail/core/Book.java
@@ -93,11 +93,12 @@
 
     private void letGo(Entry entry, long engine) {
         double endedMs = entry.mayHold.remove(engine);
-        boolean said = entry.holds.remove(engine);
+        entry.holds.remove(engine);
         free(engine, entry);
         // Guards against a release that overtakes the end of a connection, and against a reader that goes on reading
         // though nobody waits, as after a reset: the state that it leaves then is held like any other.
-        boolean later = loop.nowMs() - entry.lastCutMs < JUST_CUT_MS || !said && loop.nowMs() - endedMs < READING_MS;
+        boolean later = loop.nowMs() - entry.lastCutMs < JUST_CUT_MS
+                || entry.broken.contains(engine) && loop.nowMs() - endedMs < READING_MS;
         if (!later) return;
         againOpen++;
         loop.at(loop.nowMs() + AGAIN_MS[AGAIN_MS.length - 1], () -> againOpen--);
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -37,9 +37,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
     private static final double AGAIN_MS = 60; // between two tries at a release
     private static final double SILENT_MS = 150; // after which a release that was not answered is tried again
-    private static final double ELSEWHERE_MS = 80; // after which it is said to another engine too, and to the next
+    private static final double ELSEWHERE_MS = 100; // after which it is said to another engine too, and to the next
     private static final int MOST_LEFT = 2_048; // engines that left, the last of which are remembered
-    private static final int MOST_OTHERS = 6; // told of a release that its engine can't be told of
+    private static final int MOST_OTHERS = 4; // told of a release that its engine can't be told of
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
@@ -197,6 +197,7 @@
         private final double untilMs;
         private final BooleanSupplier elsewhere;
         private ArrayDeque<InetSocketAddress> others;
+        private Call latest; // at its own engine
         private boolean heard;
         private boolean over;
 
@@ -226,10 +227,13 @@
             if (over || loop.nowMs() >= untilMs) return;
             Word word = new Word(engine, own);
             word.call = pool.start(engine, Requests.to(engine, Methods.DELETE, "/internal/reservations/" + id), new byte[0], word);
+            if (own) latest = word.call;
             word.silence = loop.at(loop.nowMs() + SILENT_MS, word::silent);
         }
 
         private void elsewhere() {
+            // Guards against a loop that is behind: what it has not read yet is no silence, and more calls no help.
+            latest.poll();
             if (heard || over || !elsewhere.getAsBoolean()) return;
             if (others == null) others = order();
             InetSocketAddress other = others.poll();
@@ -255,6 +259,7 @@
             private final boolean own;
             private Call call;
             private Loop.Alarm silence;
+            private boolean answered;
 
             Word(InetSocketAddress engine, boolean own) {
                 this.engine = engine;
@@ -267,6 +272,8 @@
                     silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
                     return;
                 }
+                call.poll();
+                if (answered) return;
                 LOG.debug("{}: no answer to the release for {}", engine, id);
                 call.abort();
                 if (own) say(to, true);
@@ -275,6 +282,7 @@
             @Override
             public void head(int status, HeaderMap headers) {
                 silence.cancel();
+                answered = true;
                 heard = true;
                 if (own) over();
             }
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import maplerail.Router;
 import maplerail.config.EngineList;
@@ -260,6 +261,28 @@
         }
     }
 
+    /** Seen on a busy day: a loop that was behind took answers that it had not read for silence, and called ever more engines. */
+    @Test
+    void aReleaseWhoseAnswerWaitsToBeReadGoesNowhereElse() throws Exception {
+        try (StandIn own = World.reader(); StandIn other = World.reader()) {
+            Pool pool = pool(30_000).unsettled();
+            EngineClient client = new EngineClient(pool);
+            Router.Member one = new Router.Member(1, Router.State.READY, 0, 0, 0, 1, 0);
+            client.hear(new EngineList(1, true, List.of(one, new Router.Member(2, Router.State.READY, 0, 0, 0, 1, 0)),
+                    Map.of(1L, own.socketAddress(), 2L, other.socketAddress())));
+            post(pool, own.socketAddress());
+            loop.execute(() -> {
+                client.release(1, Set.of(1L, 2L), "a1", loop.nowMs() + 500, () -> true);
+                double from = loop.nowMs();
+                while (own.count("DELETE") == 0 || loop.nowMs() < from + 250) Thread.onSpinWait(); // the loop is behind
+                loop.at(loop.nowMs() + 100, () -> heard.add("later"));
+            });
+            assertThat(take(heard)).isEqualTo("later");
+            assertThat(own.count("DELETE")).isEqualTo(1);
+            assertThat(other.count("DELETE")).isZero();
+        }
+    }
+
     /** A long day replaces engines all the time. */
     @Test
     void enginesThatLeftAreForgottenInTheEnd() throws Exception {
