One piece for what three tests wrote each: saying something to a program and hearing it out

Found on reading the change again: JarIT, UpgradeIT and FleetIT each had the same call over a socket (now World.say); in EngineClient.Release a field and a method had one name.

--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -195,7 +195,7 @@
         private final Set<Long> known;
         private final String id;
         private final double untilMs;
-        private final BooleanSupplier elsewhere;
+        private final BooleanSupplier mayElsewhere;
         private ArrayDeque<InetSocketAddress> others;
         private Call latest; // at its own engine
         private boolean heard;
@@ -206,7 +206,7 @@
             this.known = Set.copyOf(known);
             this.id = id;
             this.untilMs = untilMs;
-            this.elsewhere = elsewhere;
+            mayElsewhere = elsewhere;
         }
 
         void start() {
@@ -234,7 +234,7 @@
         private void elsewhere() {
             // Guards against a loop that is behind: what it has not read yet is no silence, and more calls no help.
             latest.poll();
-            if (heard || over || !elsewhere.getAsBoolean()) return;
+            if (heard || over || !mayElsewhere.getAsBoolean()) return;
             if (others == null) others = order();
             InetSocketAddress other = others.poll();
             if (other == null) return;
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -51,13 +51,7 @@
     }
 
     private static String say(int port, String request) {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            socket.getOutputStream().write(request.replaceFirst("\r\n", "\r\nConnection: close\r\n")
-                    .getBytes(StandardCharsets.UTF_8));
-            return World.readAll(socket.getInputStream());
-        } catch (IOException e) {
-            return "";
-        }
+        return World.say(port, request.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
     }
 
     @Test
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -109,16 +109,7 @@
         await("a door", () -> at.matcher(log(name)).find());
         Matcher door = at.matcher(log(name));
         assertThat(door.find()).isTrue();
-        await("ready", () -> say(Integer.parseInt(door.group(1)), "GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 200 "));
-    }
-
-    private static String say(int port, String text) {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-            return World.readAll(socket.getInputStream());
-        } catch (IOException e) {
-            return "";
-        }
+        await("ready", () -> World.say(Integer.parseInt(door.group(1)), "GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n").contains(" 200 "));
     }
 
     private static void signal(String name, long process) throws Exception {
@@ -249,7 +240,7 @@
         Matcher door = Pattern.compile("operators are answered at \\S*:(\\d+)\\s").matcher(log(name));
         assertThat(door.find()).isTrue();
         Matcher value = Pattern.compile("gateway\\." + figure + ":(\\d+)\\|").matcher(
-                say(Integer.parseInt(door.group(1)), "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n"));
+                World.say(Integer.parseInt(door.group(1)), "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n"));
         return value.find() ? Long.parseLong(value.group(1)) : -1;
     }
 
@@ -260,12 +251,12 @@
         long broken = start("x", "bad");
         await("refused", () -> !alive(broken));
         assertThat(log("x")).contains("config.settings: missing");
-        assertThat(say(port, request("r1"))).contains("[DONE]");
+        assertThat(World.say(port, request("r1"))).contains("[DONE]");
         start("b", "good");
         awaitReady("b");
         signal("KILL", first);
         await("killed", () -> !alive(first));
-        for (int i = 0; i < 5; i++) assertThat(say(port, request("k" + i))).contains("[DONE]");
+        for (int i = 0; i < 5; i++) assertThat(World.say(port, request("k" + i))).contains("[DONE]");
     }
 
     private static int freeUdpPort() throws java.io.IOException {
--- a/src/test/java/maplerail/lab/FleetIT.java
+++ b/src/test/java/maplerail/lab/FleetIT.java
@@ -9,7 +9,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -53,17 +52,8 @@
         return found.find() ? Integer.parseInt(found.group(1)) : 0;
     }
 
-    private static String say(int port, String text) {
-        try (Socket socket = new Socket("127.0.0.1", port)) {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-            return World.readAll(socket.getInputStream());
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
     private long figure(int rank, String name) {
-        String vars = say(said(rank, "operators are answered at"), "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n");
+        String vars = World.say(said(rank, "operators are answered at"), "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n");
         Matcher value = Pattern.compile("gateway\\." + name + ":(\\d+)\\|").matcher(vars);
         return value.find() ? Long.parseLong(value.group(1)) : -1;
     }
@@ -93,7 +83,7 @@
         int port = said(rank, "listens on");
         int served = 0;
         for (int i = 0; i < count; i++) {
-            if (say(port, request(prefix + i)).contains("[DONE]")) served++;
+            if (World.say(port, request(prefix + i)).contains("[DONE]")) served++;
         }
         return served;
     }
@@ -123,7 +113,7 @@
             for (int rank = 0; rank < GATEWAYS; rank++) {
                 int r = rank;
                 await("gateway " + r + " ready", () -> said(r, "listens on") > 0
-                        && say(said(r, "listens on"), "GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 200")
+                        && World.say(said(r, "listens on"), "GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").startsWith("HTTP/1.1 200")
                         && log(r).contains("gateways of the tier are told"));
             }
             // Gateway 0 meets both readers and finds the slow one; it tells the tier.
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -237,6 +237,16 @@
         }
     }
 
+    /** Says something to a program on this machine, and what it answers until the connection ends; "" if it can't be heard. */
+    public static String say(int port, String text) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return readAll(socket.getInputStream());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     /** How {@code deploy/balancer.toml} starts a gateway. */
     public static String runLine() throws IOException {
         return java.nio.file.Files.readAllLines(java.nio.file.Path.of("deploy/balancer.toml")).stream()
