No wait between two calls to discovery uses up the 6 s in which a change is told

Read: Asking.refusedMs backed off up to 4 s, half as much more where Retry-After was asked (6 s), for an agent too; a service for all was asked by a watch of 15 to 20 s after a failure; its whole list was given up after 4 s and asked again after up to 4 s.

A move is spread over 200 ms.

--- a/src/main/java/maplerail/discovery/Asking.java
+++ b/src/main/java/maplerail/discovery/Asking.java
@@ -9,7 +9,9 @@
  * for all, which has room for so many calls.
  *
  * <p>A call is a watch while all is well, and a look from a failure to the next answer: it asks for
- * what is there already.
+ * what is there already. After a failure, a change counts as told 6 s after discovery had it and could be reached, so
+ * no wait between two calls, whatever it is for and whatever was asked, leaves less than 4 s of that for an answer to
+ * come in its turn, or 3 s from an agent, which answers at once.
  */
 final class Asking {
     /** Of a watch at an agent: one that has fallen silent is missed, and looked past, well before 6 s are over. */
@@ -18,13 +20,17 @@
     private static final double GRACE_MS = 400; // past a wait, after which a call is held to be lost; 2 s count as told
     private static final double LOOK_MS = 600; // for an answer that needs no waiting
     private static final double AGAIN_MS = 100; // between two looks: half of what a send after bad news may take
+    private static final double REFUSED_MS = 200; // first wait after a refusal; doubled by each
+    private static final double MOST_REFUSED_MS = 1_600; // and half as long again where more was asked for
     /** The same at a service for all, which has to answer a watch in its turn. */
     private static final double SERVICE_WAIT_MS = 15_000;
     private static final double SERVICE_SPREAD_MS = 5_000;
-    private static final double SERVICE_GRACE_MS = 1_500;
+    private static final double SERVICE_GRACE_MS = 1_000; // half of the 2 s: the rest is for the look that follows
     private static final double SERVICE_WHOLE_MS = 4_000; // one given up sooner takes its place in turn twice
+    private static final double SERVICE_PRESS_MS = 1_600; // a call that is lost must not use up the time to be told in
+    private static final double SERVICE_PRESS_SPREAD_MS = 200;
     private static final double SERVICE_AGAIN_MS = 200;
-    private static final double SERVICE_MOST_AGAIN_MS = 4_000;
+    private static final double SERVICE_MOST_AGAIN_MS = 1_200; // and half as long again where more was asked for
     private static final double START_SPREAD_MS = 200; // of first calls: a fleet may start at one moment
     private static final double DOUBT_MS = 2_000; // for which a list older than ours is not believed
 
@@ -48,7 +54,8 @@
     Asking(boolean agent, long version, SplittableRandom random) {
         this.agent = agent;
         this.version = version;
-        this.backoff = new Backoff(random, SERVICE_AGAIN_MS, SERVICE_MOST_AGAIN_MS);
+        this.backoff = agent ? new Backoff(random, REFUSED_MS, MOST_REFUSED_MS)
+                : new Backoff(random, SERVICE_AGAIN_MS, SERVICE_MOST_AGAIN_MS);
     }
 
     /** How long after the start the first call is made. */
@@ -58,18 +65,21 @@
 
     /** The next call. */
     Query next() {
-        if (version < 0) return new Query(-1, 0, agent ? LOOK_MS : SERVICE_WHOLE_MS);
-        if (agent && look) return new Query(version, 1, LOOK_MS);
+        double withinMs = agent ? LOOK_MS : SERVICE_WHOLE_MS;
+        if (version < 0) return new Query(-1, 0, withinMs);
+        if (look) return new Query(version, 1, withinMs);
         double waitMs = agent ? WAIT_MS + backoff.spread(WAIT_SPREAD_MS) : SERVICE_WAIT_MS + backoff.spread(SERVICE_SPREAD_MS);
         return new Query(version, Math.round(waitMs), Math.round(waitMs) + (agent ? GRACE_MS : SERVICE_GRACE_MS));
     }
 
     /**
-     * After how long a look is followed by the next though nothing has come yet, or infinity. Guards against an agent
-     * that was silent and comes back: it answers what is asked then, and what it has by then counts at once.
+     * After how long a look is followed by the next though nothing has come yet, or infinity. Guards against discovery
+     * that was silent and comes back: it answers what is asked then. At a service for all the earlier look keeps its
+     * place in turn meanwhile.
      */
     double pressMs() {
-        return agent && look ? AGAIN_MS : Double.POSITIVE_INFINITY;
+        if (!look) return Double.POSITIVE_INFINITY;
+        return agent ? AGAIN_MS : SERVICE_PRESS_MS + backoff.spread(SERVICE_PRESS_SPREAD_MS);
     }
 
     /** True from a failure, and from the start, until the next answer. */
@@ -98,12 +108,16 @@
         return failedMs();
     }
 
-    /** Another address from now on; what it first says may be older than what the last one said. */
-    void moved() {
+    /**
+     * Another address from now on; what it first says may be older than what the last one said. How long until it is
+     * asked: a fleet is told of it at one moment.
+     */
+    double movedMs() {
         look = true;
         version = -1;
         olderSinceMs = Double.NaN;
         backoff.answered();
+        return agent ? 0 : backoff.spread(START_SPREAD_MS);
     }
 
     /**
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -69,8 +69,7 @@
     public void move(InetSocketAddress to) {
         if (to.equals(at)) return;
         at = to;
-        asking.moved();
-        ask();
+        later(asking.movedMs());
     }
 
     /** Takes in an answer that has come already, before its turn on the loop: a send must not overtake the news. */
@@ -83,8 +82,9 @@
         Query query = asking.next();
         LOG.debug("asking {}{}", at, query.target());
         new Asked(mine).start(query);
-        if (asking.pressMs() < query.withinMs()) {
-            loop.at(loop.nowMs() + asking.pressMs(), () -> {
+        double pressMs = asking.pressMs();
+        if (pressMs < query.withinMs()) {
+            loop.at(loop.nowMs() + pressMs, () -> {
                 if (mine == turn) ask();
             });
         }
