A client that has left or cancelled is noticed before each attempt begins

Send asks the caller before each attempt, the pool before a call that waited for a connection is written, both fronts before a request is taken; over a WebSocket what has come is heard first, so that a cancel counts.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -112,7 +112,7 @@
                 .sorted(Comparator.comparingLong(e -> e.number)).toList();
         for (Entry entry : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
             if (!book.answer(entry, Verdict.ERRORED)) continue;
-            leave(entry);
+            send.leave(entry);
             entry.caller.broken();
         }
         inherited.breakOff(share);
@@ -136,8 +136,7 @@
             Object client = entry.caller.handOn();
             if (client == null) continue;
             Object engine = stream.sending.handOn();
-            book.answer(entry, Verdict.UNWANTED);
-            leave(entry);
+            send.gone(entry);
             out.add(new Moving(entry.terms.name(entry.ask), entry.ask.id(), client, engine));
         }
         return out;
@@ -234,13 +233,7 @@
         if (entry.answered || entry.winner != null) return;
         log.accept("request " + entry.number + " was not answered by its deadline");
         fail(entry.number, Why.DEADLINE);
-        leave(entry);
-    }
-
-    private void leave(Entry entry) {
-        send.cutAll(entry);
-        route.tell(new Router.Abandoned(entry.number));
-        book.settle(entry);
+        send.leave(entry);
     }
 
     /** A request that was never open, or no longer is. */
@@ -261,8 +254,7 @@
 
         @Override
         public void gone() {
-            if (!book.answer(entry, Verdict.UNWANTED)) return;
-            leave(entry);
+            send.gone(entry);
         }
 
         @Override
--- a/src/main/java/maplerail/core/Caller.java
+++ b/src/main/java/maplerail/core/Caller.java
@@ -5,6 +5,11 @@
     /** Why a request was not served. */
     enum Why { INVALID, DUPLICATE, BUDGET, OVERLOAD, ENGINE, DEADLINE }
 
+    /** False if it has left by now, though that may not have had its turn on the loop: nothing is to begin for it. */
+    default boolean here() {
+        return true;
+    }
+
     /** A piece of the answer, unchanged; false asks for a pause until {@link Ticket#writable()}. */
     boolean event(byte[] event);
 
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -43,6 +43,11 @@
 
     /** What comes back. */
     interface Answer {
+        /** False if nobody wants the attempt any more; asked before one that had to wait goes out. */
+        default boolean wanted() {
+            return true;
+        }
+
         /** The attempt has gone out whole; told once, and perhaps before {@code send} has returned. */
         void written();
 
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -43,6 +43,7 @@
         freshen.run();
         Entry entry = book.find(order.id());
         if (entry == null) return;
+        notice(entry);
         Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
         entry.tries.add(attempt);
         double until = order.untilMs() > 0 ? Math.min(order.untilMs(), entry.deadlineMs) : entry.deadlineMs;
@@ -57,6 +58,12 @@
         }
         attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
         attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
+            @Override
+            public boolean wanted() {
+                notice(entry);
+                return !attempt.ended;
+            }
+
             @Override
             public void written() {
                 metrics.sent();
@@ -133,8 +140,25 @@
         if (entry.winner != attempt) cut(attempt, Outcome.CANCELLED);
     }
 
+    /** Guards against an attempt for a caller that has left, while that waits for its turn on the loop. */
+    private void notice(Entry entry) {
+        if (!entry.answered && !entry.caller.here()) gone(entry);
+    }
+
+    /** Nobody waits for the answer any more. */
+    void gone(Entry entry) {
+        if (book.answer(entry, Verdict.UNWANTED)) leave(entry);
+    }
+
+    /** It has its final answer, or needs none: what is still out for it ends. */
+    void leave(Entry entry) {
+        cutAll(entry);
+        route.tell(new Router.Abandoned(entry.number));
+        book.settle(entry);
+    }
+
     /** The caller has left: nobody reads a stream either. */
-    void cutAll(Entry entry) {
+    private void cutAll(Entry entry) {
         for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, Outcome.CANCELLED);
     }
 
--- a/src/main/java/maplerail/front/Departure.java
+++ b/src/main/java/maplerail/front/Departure.java
@@ -1,47 +1,48 @@
 package maplerail.front;
 
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
-import java.io.IOException;
 import java.util.function.BooleanSupplier;
-import org.xnio.conduits.ConduitStreamSourceChannel;
-import org.xnio.conduits.StreamSourceConduit;
 
-/** Notices that a client leaves while it waits for its answer. */
+/** Notices that a client leaves while it waits for its answer: it has ended its side, whatever it sent before. */
 public final class Departure {
     private Departure() { }
 
     /**
      * Between a request and its answer nothing is read from a client, so nobody would see it leave: looks for the end
-     * of its side until {@code over}. The framing's own channel says that too, at the end of the body.
+     * of its side until {@code over}.
      */
     public static void watch(HttpServerExchange exchange, BooleanSupplier over, Runnable left) {
-        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) return;
-        StreamSourceConduit raw = connection.getOriginalSourceConduit();
-        ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-        source.setReadListener(c -> {
-            if (over.getAsBoolean()) {
-                raw.suspendReads(); // what has come is the next request's: the server reads it after this one
-                return;
-            }
-            PooledByteBuffer early = connection.getByteBufferPool().allocate();
-            try {
-                int count = raw.read(early.getBuffer());
-                if (count < 0) left.run();
-                if (count > 0) {
-                    // Not gone but early: the server reads it as the next request, after this one.
-                    early.getBuffer().flip();
-                    connection.ungetRequestBytes(early);
-                    raw.suspendReads();
-                    early = null;
-                }
-            } catch (IOException e) {
-                left.run();
-            } finally {
-                if (early != null) early.close();
-            }
+        LookAhead ahead = ahead(exchange);
+        if (ahead == null) return;
+        ((HttpServerConnection) exchange.getConnection()).getChannel().getSourceChannel().setReadListener(c -> {
+            // What has come is the next request's: the server reads it after this one.
+            if (over.getAsBoolean()) ahead.suspendReads();
+            else if (ahead.ended()) left.run();
+            else if (ahead.full()) ahead.suspendReads();
         });
-        raw.resumeReads();
+        ahead.resumeReads();
+    }
+
+    /** True if the client has left by now, though its end may not have had its turn on the loop. */
+    public static boolean gone(HttpServerExchange exchange) {
+        return of(exchange).getAsBoolean();
+    }
+
+    /** The same for the client of a connection that goes on as something else, for as long as it lasts. */
+    public static BooleanSupplier of(HttpServerExchange exchange) {
+        LookAhead ahead = ahead(exchange);
+        return ahead == null ? () -> false : ahead::ended;
+    }
+
+    /** True if something has come behind the request that nobody has read. */
+    public static boolean early(HttpServerExchange exchange) {
+        LookAhead ahead = ahead(exchange);
+        return ahead != null && ahead.holds();
+    }
+
+    private static LookAhead ahead(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof HttpServerConnection connection
+                && connection.getOriginalSourceConduit() instanceof LookAhead ahead ? ahead : null;
     }
 }
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/Door.java
@@ -16,8 +16,6 @@
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Every connection that clients have open at one listener, and since when each is what it is. Ends those that say
@@ -62,40 +60,17 @@
         Guest guest = new Guest();
         guest.sinceMs = loop.nowMs();
         guests.put(connection, guest);
-        connection.getSourceChannel().setConduit(new Noticing(connection.getSourceChannel().getConduit(), guest));
+        connection.getSourceChannel().setConduit(new LookAhead(connection.getSourceChannel().getConduit(), () -> came(guest)));
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
     }
 
-    /** Sees the first byte of what comes, so that a connection with a request on its way does not count as idle. */
-    private final class Noticing extends AbstractStreamSourceConduit<StreamSourceConduit> {
-        private final Guest guest;
-
-        Noticing(StreamSourceConduit from, Guest guest) {
-            super(from);
-            this.guest = guest;
-        }
-
-        @Override
-        public int read(ByteBuffer into) throws IOException {
-            int count = super.read(into);
-            if (count > 0) came();
-            return count;
-        }
-
-        @Override
-        public long read(ByteBuffer[] into, int offset, int length) throws IOException {
-            long count = super.read(into, offset, length);
-            if (count > 0) came();
-            return count;
-        }
-
-        private void came() {
-            // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
-            if (guest.state == State.IDLE) guest.sinceMs = loop.nowMs();
-            if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
-        }
+    /** The first byte of what comes: a connection with a request on its way does not count as idle. */
+    private void came(Guest guest) {
+        // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
+        if (guest.state == State.IDLE) guest.sinceMs = loop.nowMs();
+        if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
     }
 
     /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -127,6 +127,11 @@
         return out != null && out.bytes > SLOW_BYTES;
     }
 
+    @Override
+    public void look() {
+        if (out != null && Departure.gone(out.exchange)) out.left();
+    }
+
     /** One connection that the stream goes out on. */
     private final class Out {
         private final HttpServerExchange exchange;
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -18,6 +18,7 @@
 import java.util.UUID;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Loop;
+import maplerail.front.Departure;
 import maplerail.front.Door;
 import maplerail.rpc.Replay;
 import maplerail.rpc.SessionState;
@@ -105,7 +106,9 @@
             exchange.getRequestReceiver().receiveFullBytes(
                     (whole, body) -> whole.dispatch(SameThreadExecutor.INSTANCE, () -> {
                         door.open(whole);
-                        post(whole, team, body);
+                        // Guards against work for a client that went while its messages waited for their turn.
+                        if (Departure.gone(whole)) IoUtils.safeClose(whole.getConnection());
+                        else post(whole, team, body);
                     }), (broken, error) -> {
                         if (error instanceof RequestTooBigException) refuse(broken, 413, "the message is too large");
                         else IoUtils.safeClose(broken.getConnection());
--- a/src/main/java/maplerail/front/jsonrpc/RpcCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcCaller.java
@@ -10,6 +10,11 @@
         this.pending = pending;
     }
 
+    @Override
+    public boolean here() {
+        return pending.here();
+    }
+
     @Override
     public void refuse(Why why, double retryAfterMs) {
         pending.finish(why, true, retryAfterMs);
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import maplerail.config.Names;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Broker;
@@ -22,7 +23,9 @@
 import maplerail.core.Lifecycle.Phase;
 import maplerail.core.Loop;
 import maplerail.core.Ticket;
+import maplerail.front.Departure;
 import maplerail.front.Door;
+import org.xnio.IoUtils;
 
 /**
  * JSON-RPC 2.0 for the teams that the operator's file names: over a WebSocket, one message for each text frame, or over
@@ -75,15 +78,16 @@
         } else if (!exchange.getRequestHeaders().contains(Headers.UPGRADE)) {
             http.handle(exchange, team, door);
         } else {
-            WebSocketConnectionCallback opened = (upgraded, channel) -> open(channel, team);
+            BooleanSupplier gone = Departure.of(exchange);
+            WebSocketConnectionCallback opened = (upgraded, channel) -> open(channel, team, gone);
             door.keep(exchange); // a session may be quiet for as long as its client likes
             new WebSocketProtocolHandshakeHandler(opened).handleRequest(exchange);
         }
     }
 
-    private void open(WebSocketChannel channel, int team) {
+    private void open(WebSocketChannel channel, int team, BooleanSupplier gone) {
         Session session = new Session(team, this, config.handshake());
-        Sink sink = new SocketSink(channel, session);
+        Listening listening = new Listening(channel, session, gone);
         sessions.add(session);
         channels.add(channel);
         channel.addCloseTask(closed -> {
@@ -91,29 +95,71 @@
             channels.remove(closed);
             session.gone();
         });
-        channel.getReceiveSetter().set(new AbstractReceiveListener() {
-            @Override
-            protected long getMaxTextBufferSize() {
-                return MOST_MESSAGE;
-            }
+        channel.getReceiveSetter().set(listening);
+        channel.resumeReceives();
+    }
 
-            @Override
-            protected long getMaxBinaryBufferSize() {
-                return 0;
-            }
+    /** Hears a WebSocket's messages, each in its turn on the loop or at once. */
+    private static final class Listening extends AbstractReceiveListener {
+        private static final int MOST_AT_ONCE = 64;
+
+        private final WebSocketChannel channel;
+        private final Session session;
+        private final BooleanSupplier gone;
+        private final Sink sink;
+        private boolean within;
+        private int heard;
+
+        Listening(WebSocketChannel channel, Session session, BooleanSupplier gone) {
+            this.channel = channel;
+            this.session = session;
+            this.gone = gone;
+            this.sink = new SocketSink(channel, session, this::now);
+        }
 
-            @Override
-            protected void onFullTextMessage(WebSocketChannel from, BufferedTextMessage message) {
-                session.hear(message.getData(), sink);
+        @Override
+        public void handleEvent(WebSocketChannel from) {
+            within = true;
+            try {
+                super.handleEvent(from);
+            } finally {
+                within = false;
             }
+        }
 
-            @Override
-            protected void onFullBinaryMessage(WebSocketChannel from, BufferedBinaryMessage message) {
-                message.getData().free();
-                WebSockets.sendClose(new CloseMessage(CloseMessage.WRONG_CODE, "text frames only"), from, null);
+        private void now() {
+            if (gone.getAsBoolean()) {
+                IoUtils.safeClose(channel);
+                session.gone();
             }
-        });
-        channel.resumeReceives();
+            // Guards against a message that is heard within another.
+            for (int i = 0, before = -1; !within && before != heard && i < MOST_AT_ONCE; i++) {
+                before = heard;
+                handleEvent(channel);
+            }
+        }
+
+        @Override
+        protected long getMaxTextBufferSize() {
+            return MOST_MESSAGE;
+        }
+
+        @Override
+        protected long getMaxBinaryBufferSize() {
+            return 0;
+        }
+
+        @Override
+        protected void onFullTextMessage(WebSocketChannel from, BufferedTextMessage message) {
+            heard++;
+            session.hear(message.getData(), sink);
+        }
+
+        @Override
+        protected void onFullBinaryMessage(WebSocketChannel from, BufferedBinaryMessage message) {
+            message.getData().free();
+            WebSockets.sendClose(new CloseMessage(CloseMessage.WRONG_CODE, "text frames only"), from, null);
+        }
     }
 
     @Override
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -67,6 +67,11 @@
             public boolean slow() {
                 return to.slow();
             }
+
+            @Override
+            public void look() {
+                to.look();
+            }
         };
         for (String message : messages) batch.expect(one(message, gathering));
         return batch.seal();
@@ -196,6 +201,12 @@
             });
         }
 
+        /** False if its client has left or called it off by now, though that may not have had its turn on the loop. */
+        boolean here() {
+            if (!over) to.look();
+            return !over;
+        }
+
         /** Tells a piece of an answer that streams; false if the client should be waited for. */
         boolean notify(String data) {
             return tell("{\"jsonrpc\":\"2.0\",\"method\":\"answers/event\",\"params\":{\"id\":" + id + ",\"data\":"
--- a/src/main/java/maplerail/front/jsonrpc/Sink.java
+++ b/src/main/java/maplerail/front/jsonrpc/Sink.java
@@ -10,4 +10,7 @@
 
     /** True while the client has much to take already: streams wait. */
     boolean slow();
+
+    /** Hears what the client has said by now, its leaving included, though that has not had its turn on the loop. */
+    void look();
 }
--- a/src/main/java/maplerail/front/jsonrpc/SocketSink.java
+++ b/src/main/java/maplerail/front/jsonrpc/SocketSink.java
@@ -12,12 +12,20 @@
 
     private final WebSocketChannel channel;
     private final Session session;
+    private final Runnable hear;
     private int waiting;
     private boolean closed;
 
-    SocketSink(WebSocketChannel channel, Session session) {
+    /** {@code hear} hears whatever has come on the channel by now. */
+    SocketSink(WebSocketChannel channel, Session session, Runnable hear) {
         this.channel = channel;
         this.session = session;
+        this.hear = hear;
+    }
+
+    @Override
+    public void look() {
+        hear.run();
     }
 
     @Override
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -42,6 +42,11 @@
         if (!over) Departure.watch(exchange, this::over, this::left);
     }
 
+    @Override
+    public boolean here() {
+        return !Departure.gone(exchange);
+    }
+
     boolean over() {
         return over;
     }
@@ -142,7 +147,8 @@
     @Override
     public Object handOn() {
         if (over || ending || paused || sink == null || !waiting.isEmpty() || !exchange.isHttp11()
-                || !(exchange.getConnection() instanceof HttpServerConnection http) || http.getExtraBytes() != null) {
+                || !(exchange.getConnection() instanceof HttpServerConnection http) || http.getExtraBytes() != null
+                || Departure.early(exchange)) {
             return null;
         }
         try {
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -12,6 +12,7 @@
 import maplerail.core.Broker;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.front.Departure;
 import maplerail.front.Door;
 import org.xnio.IoUtils;
 
@@ -70,6 +71,11 @@
 
     private void take(HttpServerExchange exchange, Answer answer, byte[] body) {
         door.open(exchange);
+        if (Departure.gone(exchange)) {
+            // Guards against work for a client that went while its request waited for its turn on the loop.
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
         if (body.length > MOST_BYTES) {
             answer.say(413, "the body is too large");
             return;
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -124,6 +124,11 @@
         return done;
     }
 
+    /** True unless it is done, or turns out to be of no use to anybody now that it could be written. */
+    boolean wanted() {
+        return !done && reply.wanted() && !done;
+    }
+
     boolean waiting() {
         return !done && link == null;
     }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -120,6 +120,11 @@
             this.answer = answer;
         }
 
+        @Override
+        public boolean wanted() {
+            return answer.wanted();
+        }
+
         @Override
         public void written() {
             answer.written();
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -105,8 +105,13 @@
         ArrayDeque<Call> waiting = queued.get(to);
         if (waiting == null) return;
         waiting.removeIf(Call::done);
-        while (!waiting.isEmpty() && begin(to, waiting.peekFirst())) waiting.pollFirst();
-        if (waiting.isEmpty()) queued.remove(to);
+        while (!waiting.isEmpty()) {
+            Call first = waiting.peekFirst();
+            if (first.wanted() && !begin(to, first)) break;
+            // Not simply the first: what is let go for one that nobody wants any more goes in front of all others.
+            waiting.removeFirstOccurrence(first);
+        }
+        if (waiting.isEmpty()) queued.remove(to, waiting);
     }
 
     /**
@@ -170,8 +175,8 @@
         }
         Link link = own(to, connection);
         beforeUse.run();
-        if (call.done()) keep(link);
-        else call.on(link);
+        if (call.wanted()) call.on(link);
+        else keep(link);
         next(to);
     }
 
--- a/src/main/java/maplerail/net/Reply.java
+++ b/src/main/java/maplerail/net/Reply.java
@@ -5,6 +5,11 @@
 
 /** What hears the answer to a {@link Call}: a head, pieces of the body, then one end or failure. */
 public interface Reply {
+    /** False if nobody wants the call any more; asked before one that waited for a connection is written. */
+    default boolean wanted() {
+        return true;
+    }
+
     /** The request's last byte has been written. */
     default void written() { }
 
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -74,6 +74,11 @@
             this.most = most;
         }
 
+        @Override
+        public boolean wanted() {
+            return answer.wanted();
+        }
+
         @Override
         public void written() {
             answer.written();
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -59,7 +59,36 @@
         return take(heard);
     }
 
-    private record Heard(BlockingQueue<String> by) implements Reply {
+    /** A call that waited for its connection, and whose caller has left when that comes up, is not written. */
+    @Test
+    void whatNobodyWantsAnyMoreIsNotWritten() throws Exception {
+        try (StandIn server = new StandIn(x -> x.reply(200, ""))) {
+            Pool pool = pool(30_000);
+            BlockingQueue<String> asked = World.queue();
+            loop.execute(() -> {
+                Call[] unwanted = new Call[1];
+                unwanted[0] = pool.start(server.socketAddress(), request(server.socketAddress()), "{}".getBytes(), new Heard(heard) {
+                    @Override
+                    public boolean wanted() {
+                        asked.add("asked");
+                        unwanted[0].abort();
+                        return false;
+                    }
+                });
+            });
+            take(asked);
+            assertThat(post(pool, server.socketAddress())).isEqualTo("end");
+            assertThat(server.count("POST")).isEqualTo(1);
+        }
+    }
+
+    private static class Heard implements Reply {
+        private final BlockingQueue<String> by;
+
+        Heard(BlockingQueue<String> by) {
+            this.by = by;
+        }
+
         @Override
         public void head(int status, HeaderMap headers) { }
 
