--- a/src/test/java/maplerail/Node.java
+++ b/src/test/java/maplerail/Node.java
@@ -37,6 +37,7 @@
     int routers = 1;
     List<Kind> kinds = List.of(new Kind(Role.READ, 200_000), new Kind(Role.WRITE, 150_000), new Kind(Role.BOTH, 1e5));
     List<Tenant> tenants = List.of();
+    Rules rules = new Rules(8, 300, 0.3, 2.5, 3_000, 10_000, 10_000);
 
     double now = 1_000;
     final List<Action> all = new ArrayList<>();
@@ -48,7 +49,7 @@
         RequestClass dear = new RequestClass(2_500, 0.04, 12_000, 80, 3, 0.3, repeat, scope, 2_000);
         logic = new Logic(new Settings(seed, routers, 0, 2, ask, overShareWorth, List.of(cheap, dear), tenants, kinds,
                 new Limits(5, cancel, copies, retryAfter, 1_000, writersRead),
-                new Rules(8, 300, 0.3, 2.5, 3_000, 10_000, 10_000)));
+                rules));
         list(ListKind.REMEMBERED, members);
         return this;
     }
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -136,6 +136,67 @@
         }
     }
 
+    /** Clients that ask once or never and hold their connections, more than there are descriptors, while discovery is silent. */
+    @Test
+    void idleClientsLeaveDescriptorsForAllElse() throws Exception {
+        int most = 192;
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        AtomicInteger silent = new AtomicInteger();
+        List<Socket> idle = new java.util.ArrayList<>();
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            if (x.method.equals("DELETE")) x.reply(204, "");
+            else {
+                x.stream();
+                x.chunk("data: 1\n\n");
+                streams.add(x);
+            }
+        }); StandIn other = World.writer(); World world = new World().engine("r", "prefill", reader).engine("w1", "decode", writer);
+                StandIn agent = new StandIn(x -> {
+                    if (silent.get() == 1 || silent.get() == 2 && x.target.contains("index=9&wait=") && !x.target.endsWith("wait=1")) x.awaitEnd();
+                    else if (silent.get() == 0) x.reply(200, "{\"seq\":3,\"whole\":false,\"hosts\":[]}");
+                    else x.reply(200, world.listWithout("w1", "w2", other, 9));
+                })) {
+            world.discoveredBy(agent).sockets(most).admin();
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, world.config("127.0.0.1:0"));
+            Process gateway = start("ulimit -n " + most + "; " + line("run"), config.toString());
+            Path descriptors = Path.of("/proc/" + gateway.pid() + "/fd");
+            try {
+                await("listening", () -> port() > 0);
+                Matcher admin = Pattern.compile("answered at \\S*:(\\d+)\\s").matcher(log());
+                await("operators are answered", admin::find);
+                int adminPort = Integer.parseInt(admin.group(1));
+                try (Socket client = new Socket("127.0.0.1", port())) {
+                    client.getOutputStream().write(World.request("a1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+                    StandIn.Exchange stream = World.take(streams);
+                    silent.set(1);
+                    for (int i = 0; i < 2 * most; i++) {
+                        Socket socket = new Socket("127.0.0.1", port());
+                        idle.add(socket);
+                        if (i % 2 == 0) socket.getOutputStream().write("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                    }
+                    // Fed meanwhile: a stream without an event would be broken off before the silent watch is given up.
+                    for (long calls = agent.count("GET /api/targets"); agent.count("GET /api/targets") <= calls + 20; Thread.sleep(100)) {
+                        stream.chunk("data: 2\n\n");
+                    }
+                    assertThat(say(adminPort, "GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")).contains("gateway.cluster_size:2|g");
+                    stream.chunk("data: [DONE]\n\n");
+                    stream.last();
+                    assertThat(World.untilLastChunk(client.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
+                }
+                silent.set(2);
+                await("the new list is heard", () -> agent.count("GET /api/targets?index=9&") > 1);
+                await("service is back", () -> say(port(), World.request("a" + System.nanoTime(), "lookup", "5.0")).startsWith("HTTP/1.1 200"));
+                assertThat(other.count("POST")).isPositive();
+                assertThat(descriptors.toFile().list().length).isLessThanOrEqualTo(most);
+                assertThat(log()).doesNotContain("Too many open files");
+            } finally {
+                gateway.destroyForcibly();
+                for (Socket socket : idle) socket.close();
+            }
+        }
+    }
+
     /** The machine's own way with SIGHUP would end the program. */
     @Test
     void aHangupMovesTheWatchAndKeepsWhatIsOpen() throws Exception {
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -138,6 +138,18 @@
         return "{\"seq\":" + version + ",\"whole\":true,\"hosts\":[" + String.join(",", hosts.values()) + "]}";
     }
 
+    /** A whole list of a version, in which one engine has gone and another, a writer, has come. */
+    public synchronized String listWithout(String gone, String host, StandIn at, long seq) {
+        long before = version;
+        String lost = hosts.remove(gone);
+        engine(host, "decode", at);
+        String text = list().replaceFirst("\\d+", "" + seq);
+        hosts.remove(host);
+        hosts.put(gone, lost);
+        version = before;
+        return text;
+    }
+
     /** Waits until the gateway has heard all that discovery has to tell: it asks for what is newer. */
     public void awaitTold() throws InterruptedException {
         String next = "GET /api/targets?index=" + version() + "&";
