--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -27,9 +27,11 @@
     private static final double IDLE_MS = 10_000; // tool servers name no time after which they close
     private static final double CONNECT_MS = 500;
     private static final int MOST_OPEN = 1_000;
+    private static final long CONSUL_DRAWS = 0x5851f42d4c957f2dL; // keeps them apart from the module's
 
     private final ToolsConfig config;
     private final XnioLoop loop;
+    private final long seed;
     private final Pool pool;
     private ConsulWatch watch;
     private final Map<String, Broker> brokers = new TreeMap<>();
@@ -39,6 +41,7 @@
             int mostConnections, Metrics metrics) {
         this.config = config;
         this.loop = loop;
+        this.seed = seed;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         Router.Settings settings = config.settings(seed);
         Admit admit = new Admit(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
@@ -63,7 +66,7 @@
         if (config.consul() == null) return;
         Map<String, ToolsConfig.Service> asked = new HashMap<>(config.services());
         asked.values().removeIf(service -> !service.servers().isEmpty());
-        watch = new ConsulWatch(pool, loop, config.consul(), asked.keySet(), this::hear);
+        watch = new ConsulWatch(pool, loop, config.consul(), asked.keySet(), new SplittableRandom(seed ^ CONSUL_DRAWS), this::hear);
         watch.start();
     }
 
--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
@@ -14,43 +15,66 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One of Consul's blocking queries, asked again for good; what it last told stays true while it can't be asked. */
+/**
+ * One of Consul's blocking queries, asked again for good; what it last told stays true while it can't be asked. From a
+ * failure to the next answer it asks without waiting, as {@link Asking} does: a change counts as told 6 s after Consul
+ * could be reached.
+ */
 final class BlockingQuery {
     private static final Logger LOG = LoggerFactory.getLogger(BlockingQuery.class);
     private static final long WAIT_S = 20;
-    private static final double GRACE_MS = 2_000 + WAIT_S * 1_000 / 16; // Consul adds up to a sixteenth
+    private static final double GRACE_MS = 1_000 + WAIT_S * 1_000 / 16; // Consul adds up to a sixteenth
+    private static final double LOOK_MS = 4_000; // for an answer that needs no waiting
+    private static final double PRESS_MS = 1_600; // a look that is lost must not use up the time to be told in
     private static final double FIRST_AGAIN_MS = 100;
-    private static final double MOST_AGAIN_MS = 5_000;
+    private static final double MOST_AGAIN_MS = 1_200;
 
     private final Pool pool;
     private final XnioLoop loop;
     private InetSocketAddress at;
     private final String path;
     private final Consumer<Tree> news;
+    private final Backoff backoff;
     private long index;
-    private double againMs = FIRST_AGAIN_MS;
+    private boolean look = true; // from a failure, and from the start, until the next answer
+    private int turn; // counts up with each call, and when what is out has been answered
 
-    BlockingQuery(Pool pool, XnioLoop loop, InetSocketAddress at, String path, Consumer<Tree> news) {
+    BlockingQuery(Pool pool, XnioLoop loop, InetSocketAddress at, String path, SplittableRandom random, Consumer<Tree> news) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.path = path;
         this.news = news;
+        this.backoff = new Backoff(random, FIRST_AGAIN_MS, MOST_AGAIN_MS);
     }
 
     /** Asks another agent from now on, anew: its indexes are its own. */
     void move(InetSocketAddress to) {
         at = to;
         index = 0;
-        againMs = FIRST_AGAIN_MS;
+        look = true;
+        backoff.answered();
         ask();
     }
 
     void ask() {
-        String target = path + (index == 0 ? "" : "?index=" + index + "&wait=" + WAIT_S + "s");
-        Asked asked = new Asked();
+        int mine = ++turn;
+        boolean waits = !look && index > 0;
+        String target = path + (waits ? "?index=" + index + "&wait=" + WAIT_S + "s" : "");
+        Asked asked = new Asked(mine);
         Call call = pool.start(at, Requests.to(at, Methods.GET, target), new byte[0], asked);
-        loop.at(loop.nowMs() + WAIT_S * 1_000 + GRACE_MS, () -> asked.expire(call));
+        loop.at(loop.nowMs() + (waits ? WAIT_S * 1_000 + GRACE_MS : LOOK_MS), () -> asked.expire(call));
+        if (waits) return;
+        loop.at(loop.nowMs() + PRESS_MS, () -> {
+            if (mine == turn) ask();
+        });
+    }
+
+    private void later(double afterMs) {
+        int mine = ++turn;
+        loop.at(loop.nowMs() + afterMs, () -> {
+            if (mine == turn) ask();
+        });
     }
 
     /**
@@ -64,6 +88,11 @@
 
     private final class Asked extends TextReply {
         private final InetSocketAddress asked = at;
+        private final int mine;
+
+        Asked(int mine) {
+            this.mine = mine;
+        }
 
         @Override
         protected boolean whole(int status, HeaderMap headers, String text) {
@@ -72,15 +101,19 @@
                 if (status != 200) throw new ConfigException("status " + status);
                 Tree answer = Tree.any(path, text);
                 long before = index;
-                index = next(before, headers.getFirst("X-Consul-Index"));
+                long told = next(before, headers.getFirst("X-Consul-Index"));
+                // An earlier look may come behind a later one: what that said stands.
+                if (mine != turn && told <= before) return true;
+                index = told;
                 // A wait that ended without news repeats the index.
                 if (index == 0 || index != before) news.accept(answer);
             } catch (ConfigException e) {
                 LOG.warn("consul: {}", e.getMessage());
-                index = 0;
+                if (mine == turn) index = 0;
                 return false;
             }
-            againMs = FIRST_AGAIN_MS;
+            look = false;
+            backoff.answered();
             if (index > 0) ask();
             else later(FIRST_AGAIN_MS);
             return true;
@@ -88,14 +121,9 @@
 
         @Override
         protected void none() {
-            later(againMs);
-            againMs = Math.min(MOST_AGAIN_MS, againMs * 2);
-        }
-
-        private void later(double afterMs) {
-            loop.at(loop.nowMs() + afterMs, () -> {
-                if (asked.equals(at)) ask(); // else the other address has its own call out
-            });
+            if (mine != turn) return; // the other address has its own call out, or this one a later look
+            look = true;
+            later(backoff.next(0));
         }
     }
 }
--- a/src/main/java/maplerail/discovery/ConsulWatch.java
+++ b/src/main/java/maplerail/discovery/ConsulWatch.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import maplerail.Router;
@@ -24,17 +25,19 @@
     private InetSocketAddress at;
     private final Set<String> wanted;
     private final BiConsumer<String, EngineList> news;
+    private final SplittableRandom random;
     private final Set<String> watched = new HashSet<>();
     private final List<BlockingQuery> queries = new ArrayList<>();
     private long version;
 
     /** Makes a watch for some services, which tells the whole list of a service each time. */
     public ConsulWatch(Pool pool, XnioLoop loop, InetSocketAddress at, Set<String> wanted,
-            BiConsumer<String, EngineList> news) {
+            SplittableRandom random, BiConsumer<String, EngineList> news) {
         this.pool = pool;
         this.loop = loop;
         this.at = at;
         this.wanted = Set.copyOf(wanted);
+        this.random = random;
         this.news = news;
     }
 
@@ -55,7 +58,7 @@
     }
 
     private void query(String path, Consumer<Tree> told) {
-        BlockingQuery query = new BlockingQuery(pool, loop, at, path, told);
+        BlockingQuery query = new BlockingQuery(pool, loop, at, path, random.split(), told);
         queries.add(query);
         query.ask();
     }
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -2,15 +2,28 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.undertow.server.DefaultByteBufferPool;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import maplerail.Router.State;
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.Json;
 import maplerail.config.Names;
 import maplerail.config.Tree;
+import maplerail.net.Pool;
+import maplerail.net.XnioLoop;
+import maplerail.support.StandIn;
+import maplerail.support.World;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
 class ConsulTest {
     @ParameterizedTest
@@ -32,6 +45,33 @@
         assertThat(list.addresses().values().iterator().next().toString()).isEqualTo("/127.0.0.9:80");
     }
 
+    /** After a failure it is asked without waiting, and again though the first such question is lost on the way. */
+    @Test
+    void aQueryThatFailedIsAskedForWhatIsThereUntilItIsAnswered() throws Exception {
+        List<String> asked = new CopyOnWriteArrayList<>();
+        BlockingQueue<String> told = World.queue();
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        try (StandIn consul = new StandIn(x -> {
+            asked.add(x.target);
+            int call = asked.size();
+            if (call == 2) x.reply(500, "");
+            else if (call == 1 || call == 4) x.reply(200, "{\"call\":" + call + "}", "X-Consul-Index: " + (call + 4));
+            else x.awaitEnd();
+        })) {
+            XnioLoop loop = new XnioLoop(worker.getIoThread());
+            Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, 250, 10).unsettled();
+            BlockingQuery query = new BlockingQuery(pool, loop, consul.socketAddress(), "/v1/x", new SplittableRandom(1),
+                    answer -> told.add("" + answer.at("call").raw()));
+            loop.execute(query::ask);
+            assertThat(World.take(told)).isEqualTo("1");
+            assertThat(World.take(told)).isEqualTo("4");
+            World.await("watched anew", () -> asked.size() > 4);
+            assertThat(asked.subList(0, 5)).containsExactly("/v1/x", "/v1/x?index=5&wait=20s", "/v1/x", "/v1/x", "/v1/x?index=8&wait=20s");
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
     private static EngineList platform(String dial, String health) {
         Names names = new Names(java.util.List.of("caerdydd"), java.util.List.of("prefill"), java.util.List.of(),
                 java.util.List.of());
