A text met once has one home, shared by the gateways of a zone; copies rationed by arrivals

Causes: longestMatch reckoned homes from the one arrival at hand (2 x n x 1 / (1 + 8): 4 homes of 16 readers, 10 of all, for a text met once at one of 105 gateways); a home within the zone was no match, so a text that the zone's others had had read counted as unread, the reader as strained, and the request went to other homes; each gateway had 10 copies saved up, more than a third of all that came to it.

Now the prior is at least as wide as the readers, homes within a zone are assumed by what the zone's gateways send, and no more copies are saved up than the arrivals of lately earn.

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -50,7 +50,7 @@
     private static final int HALF_OPEN_STEPS = 4; // good outcomes that close; each doubles what may be out
     private static final double FULL_MS = 150; // for which an engine that was full is passed over
     private static final double OVERDUE = 3, OVERDUE_SHARE = 0.4; // times the expected; least share of an aim
-    private static final double RETRY_SHARE = 0.2, RETRY_BURST = 10; // retries for each arrival; saved up
+    private static final double RETRY_SHARE = 0.2, RETRY_BURST = 10; // per arrival; saved up of those lately
     private static final double BEHIND = 0.25; // of an aim, for the waits of a role: then no copies
     private static final double CALM_DRIFT = 1.01; // growth, each read, of the pace held to be free of queues
     private static final double WAIT_MS = 2_000, POOL_MS = 8_000; // in which a wait of one, of all, fades
@@ -285,7 +285,8 @@
         if (request.phase == Phase.DONE) return;
         warm(0);
         if (arrival.prefix() != 0) warm(arrival.prefix());
-        retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+        double most = Math.max(1, Math.min(RETRY_BURST, RETRY_SHARE * heatOf(0)));
+        retryTokens = Math.min(most, retryTokens + RETRY_SHARE);
         setTimer(arrival.id(), 0, Alarm.DEADLINE, lastMoment(request));
         Engine reader = chooseReader(request, null);
         if (overloaded(request, reader)) giveUp(request);
@@ -379,13 +380,13 @@
         List<Engine> able = able(request, not, e -> reads(e));
         if (able.isEmpty()) return null;
         int zone = zone(request, able);
-        // What other zones' nodes have had read here is unknown, so a home here is no match.
         List<Engine> near = able.stream().filter(e -> e.member.zone() == zone).toList();
         if (!near.isEmpty() && near.size() < able.size()) {
-            Engine here = d2lpm(request, near, longestMatch(request, near, false));
+            int nodes = settings.routers() / (int) able.stream().map(e -> e.member.zone()).distinct().count();
+            Engine here = d2lpm(request, near, longestMatch(request, near, nodes));
             if (!strained(request, here)) return here;
         }
-        List<Engine> matched = longestMatch(request, able, settings.routers() > 1);
+        List<Engine> matched = longestMatch(request, able, settings.routers());
         return spill(request, d2lpm(request, able, matched), able);
     }
 
@@ -472,18 +473,18 @@
     }
 
     /** The able readers that hold the longest match, as far as known or likely; else the key's homes. */
-    private List<Engine> longestMatch(Request request, List<Engine> able, boolean shared) {
+    private List<Engine> longestMatch(Request request, List<Engine> able, int nodes) {
         // With more history than beginning the session's home is what all nodes agree on.
         boolean most = request.asked.promptTokens() > 2 * request.asked.prefixTokens();
         boolean history = most && request.asked.session() != 0;
         long key = history ? request.asked.session() : request.asked.prefix();
-        double seen = heatOf(key);
-        double count = history ? 1 : Math.ceil(HOME_SPREAD * able.size() * seen / (heatOf(0) + HOME_PRIOR));
+        double seen = heatOf(key), all = HOME_SPREAD * able.size(); // one arrival alone asks for one home
+        double count = history ? 1 : Math.ceil(all * seen / (heatOf(0) + Math.max(HOME_PRIOR, all)));
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
                 .toList();
-        boolean sentByOthers = seen * (settings.routers() - 1) > homes.size();
-        request.homes = shared && (sentByOthers || history) ? homes : List.of();
+        boolean sentByOthers = history || seen * (nodes - 1) > homes.size();
+        request.homes = nodes > 1 && sentByOthers ? homes : List.of();
         request.assumed = history ? HISTORY * request.asked.promptTokens() : request.asked.prefixTokens();
         double longest = able.stream().mapToDouble(e -> matchedTokens(request, e)).max().orElse(0);
         return longest > 0 ? able.stream().filter(e -> matchedTokens(request, e) >= longest).toList() : homes;
@@ -832,9 +833,8 @@
         double expected = Math.max(Double.isNaN(pace) ? 0 : pace * attempt.cost, waitMs(attempt.engine));
         // What we only assume to be kept there may have to be read.
         boolean assumed = pace > 0 && attempt.request.homes.contains(attempt.engine);
-        double whole = assumed ? pace * attempt.request.asked.promptTokens() : 0;
-        double least = OVERDUE_SHARE * attempt.request.kind.aimMs();
-        return Math.max(least, OVERDUE * Math.max(expected, whole / 2));
+        double whole = assumed ? pace * attempt.request.asked.promptTokens() / 2 : 0;
+        return Math.max(OVERDUE_SHARE * attempt.request.kind.aimMs(), OVERDUE * Math.max(expected, whole));
     }
 
     /** Silence, or a known outlier: an attempt is out far longer than peers take. Try elsewhere. */
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -604,6 +604,25 @@
         }
     }
 
+    /** Many nodes that each see little must not each spend a saved-up store of copies in the same bad moment. */
+    @Test
+    void copiesOfAFleetStayAShareOfWhatCame() {
+        int copies = 0;
+        for (int seed = 1; seed <= 100; seed++) {
+            Node node = new Node();
+            node.seed = seed;
+            node.routers = 100;
+            node.start(reader(1), reader(2), reader(3), reader(4), writer(31));
+            for (int id = 1; id <= 4; id++) {
+                node.arrive(id, id, 0, 500, 30_000);
+                node.until(node.now + 700);
+            }
+            node.until(node.now + 2_000);
+            copies += node.sends().size() - (int) node.sends().stream().map(Send::id).distinct().count();
+        }
+        assertTrue(copies > 0 && copies <= 100 + 0.2 * 400, "copies for 400 requests of 100 nodes: " + copies);
+    }
+
     // ---- Drains, cold engines, pins ----
 
     @Test
