--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -483,8 +483,8 @@
         List<Engine> homes = key == 0 ? List.of() : able.stream()
                 .sorted(Comparator.comparingLong(e -> mix(key ^ mix(e.id)))).limit((long) Math.max(1, count))
                 .toList();
-        boolean sentByOthers = history || seen * (nodes - 1) > homes.size();
-        request.homes = nodes > 1 && sentByOthers ? homes : List.of();
+        double byOthers = (nodes < settings.routers() ? seen - 1 : seen) * (nodes - 1); // here, in one zone
+        request.homes = nodes > 1 && (history || byOthers > homes.size()) ? homes : List.of();
         request.assumed = history ? HISTORY * request.asked.promptTokens() : request.asked.prefixTokens();
         double longest = able.stream().mapToDouble(e -> matchedTokens(request, e)).max().orElse(0);
         return longest > 0 ? able.stream().filter(e -> matchedTokens(request, e) >= longest).toList() : homes;
