--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -285,8 +285,9 @@
         if (request.phase == Phase.DONE) return;
         warm(0);
         if (arrival.prefix() != 0) warm(arrival.prefix());
-        double most = Math.max(1, Math.min(RETRY_BURST, RETRY_SHARE * heatOf(0)));
-        retryTokens = Math.min(most, retryTokens + RETRY_SHARE);
+        double lately = Math.min(RETRY_BURST, RETRY_SHARE * heatOf(0));
+        double few = RETRY_BURST / Math.max(1, settings.routers() / HOME_PRIOR); // in all as large
+        retryTokens = Math.min(Math.max(1, Math.max(lately, few)), retryTokens + RETRY_SHARE);
         setTimer(arrival.id(), 0, Alarm.DEADLINE, lastMoment(request));
         Engine reader = chooseReader(request, null);
         if (overloaded(request, reader)) giveUp(request);
@@ -888,10 +889,9 @@
         if (outcome.neverRan && request.mayHaveRun == attempt) request.mayHaveRun = null;
         if (request.phase == Phase.STREAMING || request.out > 0) return;
         if (outcome == Outcome.STATE_GONE) request.holder = null;
-        boolean spent = request.attempts.size() >= request.limits.maxAttempts();
         // Guards against holding back an answer, and a state that no engine may take any more: what may have
         // had its effect can be neither repeated nor taken elsewhere.
-        spent |= unrepeatable(request);
+        boolean spent = request.attempts.size() >= request.limits.maxAttempts() || unrepeatable(request);
         if (spent || lastMoment(request) <= now) giveUp(request);
         else if (request.holder != null) write(request, attempt.engine);
         // Guards against unsafe work that overtakes, on its way, the end of the attempt called off before it.
