SIGHUP is heard though its starter ignores it; a stop that meets a start ends it

Cause: the Java machine leaves SIGHUP alone where it was ignored when it started (JVM_RegisterSignal); cli.Hangup took the answer SIG_IGN for success. Ruled out: lists older than ours, silent agents, the move itself: no move was ever asked for.

Found by reading beside it, both forced: SIGHUP between the reading of the file and its handler ended the program (Main, the handler now comes first); SIGTERM during the wait for discovery's first answer: finish() met no door (IndexOutOfBounds at doors.get(0)) and the process never ended. A start now opens on the loop, as a stop does.

Seen to fail on the old code: JarIT aHangupMovesTheWatch[2], aHangupDuringTheStart, DrainTest aSignalToStopThatMeetsAStart.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -13,8 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import maplerail.Logic;
 import maplerail.Router;
@@ -95,14 +96,14 @@
     private static final int LEFT_STEPS = 3; // in so many steps
     private static final int OWN_SOCKETS = 40; // what the machine, the listeners and the log hold
     private static final int LIST_SOCKETS = 10; // to discovery: never short of them, whatever engines and clients hold
-    private static final long FIRST_LIST_MS = 1_000; // that a start waits for the agent's first answer before it listens
+    private static final double FIRST_LIST_MS = 1_000; // that a start waits for the agent's first answer before it listens
 
     private volatile NodeConfig config;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Metrics metrics = new Metrics();
     private final Handover handover;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final CountDownLatch listed = new CountDownLatch(1);
+    private final CompletableFuture<Void> opened = new CompletableFuture<>(); // clients may come, or never will
     private final XnioWorker worker;
     private final XnioLoop loop;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 512, 0);
@@ -254,17 +255,14 @@
         });
         if (exchange != null) loop.execute(this::listenToPeers);
         if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
-        awaitList();
-        server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
-        if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
-        if (handover != null && config.inherited()) {
-            streams = new Streams(handovers, worker, loop, broker, engines, doors.get(0), metrics,
-                    config.wire().sockets() / MOST_INHERITED_PART);
-            loop.execute(() -> loop.at(loop.nowMs() + STREAMS_MS, streams::listen));
+        loop.execute(this::awaitList);
+        try {
+            opened.join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof IOException failed) throw failed;
+            if (e.getCause() instanceof RuntimeException failed) throw failed;
+            throw e;
         }
-        serving = true;
-        LOG.info("{} listens on {}", config.name(), address());
-        if (rpc != null) LOG.info("tool calls come in at {}", rpcAddress());
     }
 
     /**
@@ -273,12 +271,39 @@
      * that could be obeyed, and what is known has to do.
      */
     private void awaitList() {
-        if (config.settings().askForList() || config.known() == null) return;
+        if (config.settings().askForList() || config.known() == null) {
+            open();
+            return;
+        }
+        loop.at(loop.nowMs() + FIRST_LIST_MS, () -> {
+            if (serving || leaving()) return;
+            LOG.warn("discovery is silent: serving by the list in the configuration");
+            open();
+        });
+    }
+
+    /**
+     * Lets clients come, on the loop like all that ends it. Guards against a signal to stop that meets a start: what it
+     * found not yet listening would listen behind its back, and be waited for to no end.
+     */
+    private void open() {
+        if (serving || leaving()) return;
         try {
-            if (!listed.await(FIRST_LIST_MS, TimeUnit.MILLISECONDS)) LOG.warn("discovery is silent: serving by the list in the configuration");
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            server = listen(config.listen(), front, CLIENT_PERCENT, front::at);
+            if (rpc != null) rpcServer = listen(rpcListen, rpc, RPC_PERCENT, rpc::at);
+            if (handover != null && config.inherited()) {
+                streams = new Streams(handovers, worker, loop, broker, engines, doors.get(0), metrics,
+                        config.wire().sockets() / MOST_INHERITED_PART);
+                loop.at(loop.nowMs() + STREAMS_MS, streams::listen);
+            }
+        } catch (IOException | RuntimeException e) {
+            opened.completeExceptionally(e);
+            return;
         }
+        serving = true;
+        LOG.info("{} listens on {}", config.name(), address());
+        if (rpc != null) LOG.info("tool calls come in at {}", rpcAddress());
+        opened.complete(null);
     }
 
     /** Past the high water nothing is accepted: what waits there costs no descriptor, and engines stay in reach. */
@@ -309,13 +334,13 @@
     }
 
     private void hear(EngineList list) {
-        listed.countDown();
         engines.hear(list);
         broker.members(view.hear(new Router.Members(list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES,
                 list.version(), list.members())));
         if (outliers != null) outliers.engines(view.kinds());
         if (exchange != null) exchange.engines(broker.readers());
         ready();
+        open();
     }
 
     private synchronized void ready() {
@@ -536,6 +561,10 @@
         loop.execute(() -> {
             if (!leave()) return;
             LOG.info("told to stop: {} requests are open", broker.unanswered());
+            if (!serving) {
+                end();
+                return;
+            }
             // Another process has the socket too: what comes now is that one's.
             if (config.inherited()) IoUtils.safeClose(server);
             // The one that serves on needs the address for datagrams of the tier.
@@ -588,8 +617,13 @@
             return;
         }
         if (rpc != null) rpc.close();
+        end();
+    }
+
+    private void end() {
         LOG.info("all is done{}", streams == null ? "" : ": " + streams);
         lifecycle.move(Phase.STOPPED);
+        opened.complete(null);
         stopped.countDown();
     }
 
--- a/src/main/java/maplerail/cli/Hangup.java
+++ b/src/main/java/maplerail/cli/Hangup.java
@@ -23,8 +23,13 @@
                         if (method.getName().equals("handle")) task.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), told);
+            // The Java machine leaves a signal alone that was ignored when it started, and says so by this alone.
+            if (handler.getField("SIG_IGN").get(null).equals(before)) {
+                LOG.warn("SIGHUP is ignored by whoever started the program (nohup, for one) and will not be heard: "
+                        + "start it by 'env --default-signal=HUP,TERM'");
+            }
         } catch (ReflectiveOperationException e) {
             LOG.warn("SIGHUP will not be heard", e);
         }
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import maplerail.config.ConfigException;
 import maplerail.config.NodeConfig;
@@ -143,6 +144,10 @@
         NodeConfig config;
         ToolsConfig tools;
         String text;
+        // Guards against a signal between the file's reading and the first moment in which it could be read again: the
+        // machine's own way with it would end the program.
+        CompletableFuture<Runnable> reloading = new CompletableFuture<>();
+        if (command.equals("serve")) Hangup.then(() -> reloading.join().run());
         try {
             if (file == null) throw new ConfigException("RELAY_CONFIG: missing, and no --config");
             text = read(file);
@@ -163,7 +168,7 @@
         left.remove("RELAY_DISCOVERY");
         Reload reload = new Reload(Main::read, gateway::rejected);
         AtomicReference<String> inForce = new AtomicReference<>(text);
-        Hangup.then(() -> reload.run(() -> {
+        reloading.complete(() -> reload.run(() -> {
             reload.take(file, news -> {
                 gateway.reload(NodeConfig.next(news, inForce.get(), left));
                 inForce.set(news);
--- a/src/test/java/maplerail/cli/DrainTest.java
+++ b/src/test/java/maplerail/cli/DrainTest.java
@@ -6,9 +6,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import maplerail.config.NodeConfig;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -91,6 +95,31 @@
         }
     }
 
+    /** A start that still waits for discovery: nothing listens behind the drain's back, and nobody waits for it. */
+    @Test
+    void aSignalToStopThatMeetsAStartEndsIt() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        try (StandIn reader = World.reader(); StandIn agent = new StandIn(x -> {
+            asked.countDown();
+            x.awaitEnd();
+        }); World world = new World().engine("r", "prefill", reader).discoveredBy(agent)) {
+            world.gateway = new Gateway(NodeConfig.read(world.config("127.0.0.1:0"), Map.of()), null);
+            Thread starting = new Thread(() -> {
+                try {
+                    world.gateway.start();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            starting.start();
+            asked.await();
+            world.gateway.drain();
+            await("stopped", () -> world.gateway.phase() == Phase.STOPPED);
+            starting.join();
+            assertThat(world.gateway.canServe()).isFalse();
+        }
+    }
+
     /** A read broke just before the end: its reader may leave a state after the first release, which nobody else would let go. */
     @Test
     void releasesAreSaidToTheirEndBeforeTheExit() throws Exception {
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -6,6 +6,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -19,6 +20,8 @@
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Starts the packaged program by the deploy file's own lines and speaks to it over sockets. */
 class JarIT {
@@ -197,9 +200,10 @@
         }
     }
 
-    /** The machine's own way with SIGHUP would end the program. */
-    @Test
-    void aHangupMovesTheWatchAndKeepsWhatIsOpen() throws Exception {
+    /** The machine's own way with SIGHUP would end the program; Java's, to ignore it where whoever starts it did. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "trap '' HUP TERM; "})
+    void aHangupMovesTheWatchAndKeepsWhatIsOpen(String before) throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
         StandIn.Handler begin = x -> {
             x.stream();
@@ -211,7 +215,7 @@
                 World next = new World().engine("r", "prefill", reader).engine("w2", "decode", other)) {
             Path config = folder.resolve("config.json");
             Files.writeString(config, world.config("127.0.0.1:0"));
-            Process gateway = start("RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"), config.toString());
+            Process gateway = start(before + "RELAY_DISCOVERY=" + world.discovery().address() + " " + line("run"), config.toString());
             try {
                 await("listening", () -> port() > 0);
                 try (Socket client = new Socket("127.0.0.1", port())) {
@@ -240,6 +244,29 @@
         }
     }
 
+    /** Between the reading of the file and the first handler, the signal ended the program. */
+    @Test
+    void aHangupDuringTheStartIsObeyedAfterIt() throws Exception {
+        try (StandIn reader = World.reader(); StandIn writer = World.writer();
+                World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer);
+                World next = new World().engine("r", "prefill", reader).engine("w", "decode", writer)) {
+            Path pipe = folder.resolve("config.json");
+            assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+            Process gateway = start(line("run"), pipe.toString());
+            try {
+                try (OutputStream first = Files.newOutputStream(pipe)) { // opens once the program reads
+                    assertThat(new ProcessBuilder("kill", "-HUP", "" + gateway.pid()).start().waitFor()).isZero();
+                    first.write(world.config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8));
+                }
+                await("listening", () -> port() > 0);
+                Files.writeString(pipe, next.config("127.0.0.1:0"));
+                await("moved", () -> log().contains("discovery is at /" + next.discovery().address()));
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void theAdapterAnswersAnEmptyBatchAndEndsWithItsInput() throws Exception {
         Process adapter = start(line("sim"), null);
