A request that meets its connection's end is answered; no reset over an answer's tail

Read: Door.closeIdle, end and the limits closed a resting or new connection without a look at what had come, so that a loop that is behind reset a request that was taken; finish() did not count connections that still waited at the turnstile. After an answer with 'Connection: close' Undertow ends the connection at the first byte that came behind it (ConnectionUtils.cleanClose), and Door.closeIdle did so at once during a drain: over unread bytes that is a reset, and takes the answer's tail with it. Both forced on real sockets: DoorTest aRequestThatMeets... and anAnswerIsRead..., seen to fail on the old code ('Connection reset' instead of the answer; the answer cut off). Now the door looks before it closes, and a connection that parts throws away what still comes, for 1 s at most.

--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -120,6 +120,7 @@
     private AcceptingChannel<?> server;
     private AcceptingChannel<?> rpcServer;
     private final List<Door> doors = new ArrayList<>();
+    private final List<Turnstile> turnstiles = new ArrayList<>();
     private AdminDoor admin;
     private final Exchange exchange; // what gateways of the tier tell each other of readers; null where off
     private final View view = new View(); // the list as the module sees it
@@ -320,6 +321,7 @@
         OptionMap options = OptionMap.builder().set(Options.BACKLOG, 1_024).set(Options.TCP_NODELAY, true)
                 .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap();
         Turnstile turnstile = new Turnstile(door, loop);
+        turnstiles.add(turnstile);
         AcceptingChannel<StreamConnection> listening = config.inherited() && doors.size() == 1
                 ? InheritedListener.serve(worker, inherited(), turnstile, options)
                 : worker.createStreamConnectionServer(at, turnstile, options);
@@ -612,7 +614,7 @@
         doors.get(0).closeIdle();
         if (rpc != null) rpc.stopTaking();
         // A state that this process let go too late or never would stay held: its releases are said to their end.
-        if (doors.get(0).busy() > 0 || remembered() > 0 || broker.lettingGo() > 0 || engines.releasing() > 0 || streams != null && streams.onTheirWay() > 0 || rpc != null && rpc.openRequests() > 0) {
+        if (turnstiles.get(0).waiting() > 0 || doors.get(0).busy() > 0 || remembered() > 0 || broker.lettingGo() > 0 || engines.releasing() > 0 || streams != null && streams.onTheirWay() > 0 || rpc != null && rpc.openRequests() > 0) {
             loop.at(loop.nowMs() + LOOK_MS, this::finish);
             return;
         }
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/Door.java
@@ -35,7 +35,9 @@
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
     private static final int FULL_PART = 32; // with fewer left nobody new gets in: any idle one may have to go
 
-    private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT }
+    private static final double PARTING_MS = 1_000; // after an answer that ends its connection, for the client to end it too
+
+    private enum State { SILENT, ARRIVING, OPEN, IDLE, KEPT, PARTING }
 
     private final ChannelListener<StreamConnection> next;
     private final Loop loop;
@@ -46,6 +48,7 @@
     private static final class Guest {
         State state = State.SILENT;
         double sinceMs;
+        LookAhead ahead;
     }
 
     /** A door before a server's listener, through which at most so many connections should be at once. */
@@ -60,7 +63,8 @@
         Guest guest = new Guest();
         guest.sinceMs = loop.nowMs();
         guests.put(connection, guest);
-        connection.getSourceChannel().setConduit(new LookAhead(connection.getSourceChannel().getConduit(), () -> came(guest)));
+        guest.ahead = new LookAhead(connection.getSourceChannel().getConduit(), () -> came(guest));
+        connection.getSourceChannel().setConduit(guest.ahead);
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
         next.handleEvent(connection);
@@ -76,7 +80,7 @@
     /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
     public void entered(HttpServerExchange exchange) {
         exchange.addExchangeCompleteListener((done, proceed) -> {
-            set(done, State.IDLE);
+            set(done, done.isPersistent() ? State.IDLE : State.PARTING);
             proceed.proceed();
         });
     }
@@ -97,6 +101,17 @@
         if (guest == null || guest.state == State.KEPT) return;
         guest.state = state;
         guest.sinceMs = loop.nowMs();
+        if (state == State.PARTING) guest.ahead.discard();
+    }
+
+    /**
+     * True if nothing has come on a connection that waits for a request. Guards against a loop that is behind: what came
+     * before the connection's end is a request that was taken, and has its answer.
+     */
+    private boolean quiet(Guest guest) {
+        if (guest.ahead.ended() || !guest.ahead.holds()) return true;
+        came(guest);
+        return false;
     }
 
     private void look() {
@@ -106,13 +121,16 @@
         guests.forEach((connection, guest) -> {
             double age = now - guest.sinceMs;
             boolean late = switch (guest.state) {
-                case SILENT, ARRIVING -> age >= ARRIVE_MS;
-                case IDLE -> age >= LONG_IDLE_MS;
+                case SILENT -> age >= ARRIVE_MS && quiet(guest);
+                case ARRIVING -> age >= ARRIVE_MS;
+                case IDLE -> age >= LONG_IDLE_MS && quiet(guest);
+                case PARTING -> age >= PARTING_MS;
                 default -> false;
             };
             if (late) ended.add(connection);
         });
         ended.forEach(this::turnOut);
+        end(State.PARTING, 0, now);
         end(State.IDLE, guests.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
         end(State.SILENT, SILENT_MS, now);
         looking = !guests.isEmpty();
@@ -120,14 +138,21 @@
     }
 
     private void turnOut(StreamConnection connection) {
-        Guest guest = guests.remove(connection);
+        Guest guest = guests.get(connection);
         if (guest.state == State.ARRIVING) {
             try {
                 connection.getSinkChannel().write(ByteBuffer.wrap(TOO_LATE));
+                connection.getSinkChannel().shutdownWrites();
+                connection.getSinkChannel().flush();
+                guest.state = State.PARTING;
+                guest.sinceMs = loop.nowMs();
+                guest.ahead.discard();
+                return;
             } catch (IOException e) {
                 LOG.debug("a client's connection failed", e); // it is ended next
             }
         }
+        guests.remove(connection);
         IoUtils.safeClose(connection);
     }
 
@@ -138,14 +163,14 @@
         guests.entrySet().stream()
                 .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
-                .limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOut);
+                .filter(e -> quiet(e.getValue())).limit(over).map(Map.Entry::getKey).toList().forEach(this::turnOut);
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
     public void closeIdle() {
         List<StreamConnection> idle = new ArrayList<>();
         guests.forEach((connection, guest) -> {
-            if (guest.state == State.IDLE || guest.state == State.SILENT) idle.add(connection);
+            if ((guest.state == State.IDLE || guest.state == State.SILENT) && quiet(guest)) idle.add(connection);
         });
         idle.forEach(IoUtils::safeClose);
     }
--- a/src/main/java/maplerail/front/LookAhead.java
+++ b/src/main/java/maplerail/front/LookAhead.java
@@ -21,6 +21,7 @@
     private final Runnable came;
     private ByteBuffer early = NOTHING; // from its position to its limit: looked at and not read
     private boolean ended;
+    private boolean discarding;
 
     /** {@code came} hears of each piece that is read. */
     LookAhead(StreamSourceConduit from, Runnable came) {
@@ -32,7 +33,7 @@
     boolean ended() {
         int before = early.remaining();
         try {
-            while (!ended && early.remaining() < MOST) {
+            while (!ended && !discarding && early.remaining() < MOST) {
                 ByteBuffer piece = ByteBuffer.allocate(PIECE);
                 int count = next.read(piece);
                 if (count < 0) ended = true;
@@ -47,6 +48,25 @@
         return ended;
     }
 
+    /**
+     * Nobody reads on: what still comes is thrown away. Guards against an end over bytes that nobody has read, which is a
+     * reset, and takes what the client has yet to read of its answer with it.
+     */
+    void discard() {
+        discarding = true;
+        early = NOTHING;
+    }
+
+    private int throwAway() throws IOException {
+        ByteBuffer piece = ByteBuffer.allocate(PIECE);
+        for (int read = 0; !ended && read < MOST; read += piece.position()) {
+            int count = next.read(piece.clear());
+            if (count < 0) ended = true;
+            if (count <= 0) break;
+        }
+        return ended ? -1 : 0;
+    }
+
     private void keep(ByteBuffer piece) {
         if (early.capacity() - early.limit() < piece.remaining()) {
             ByteBuffer larger = ByteBuffer.allocate(Math.max(2 * early.remaining(), early.remaining() + piece.remaining()));
@@ -69,6 +89,7 @@
 
     @Override
     public int read(ByteBuffer into) throws IOException {
+        if (discarding) return throwAway();
         int count = early.hasRemaining() ? take(into) : ended ? -1 : next.read(into);
         if (count > 0) came.run();
         return count;
@@ -76,6 +97,7 @@
 
     @Override
     public long read(ByteBuffer[] into, int offset, int length) throws IOException {
+        if (discarding) return throwAway();
         if (!early.hasRemaining() && !ended) {
             long count = next.read(into, offset, length);
             if (count > 0) came.run();
--- a/src/main/java/maplerail/front/Turnstile.java
+++ b/src/main/java/maplerail/front/Turnstile.java
@@ -32,6 +32,11 @@
         this.loop = loop;
     }
 
+    /** Connections that have been taken and not let in yet: their clients may have sent a request. */
+    public int waiting() {
+        return waiting.size();
+    }
+
     /** Takes all that are there: XNIO runs nothing else on this thread while it has some left. */
     @Override
     public void handleEvent(AcceptingChannel<StreamConnection> from) {
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -4,6 +4,8 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -61,6 +63,73 @@
         }
     }
 
+    /** What has come before a resting connection's end is a request that was taken: it was reset, unread. */
+    @Test
+    void aRequestThatMeetsItsConnectionsEndIsAnswered() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        XnioLoop loop = new XnioLoop(worker.getIoThread());
+        HttpOpenListener http = new HttpOpenListener(new DefaultByteBufferPool(true, 8_192), OptionMap.EMPTY);
+        Door door = new Door(http, loop, 100);
+        http.setRootHandler(exchange -> {
+            door.entered(exchange);
+            exchange.getResponseSender().send("answer");
+        });
+        try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
+                new InetSocketAddress("127.0.0.1", 0), new Turnstile(door, loop), OptionMap.EMPTY)) {
+            server.resumeAccepts();
+            InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
+            for (int answered = 0; answered < 2; answered++) { // one that rests, and one that is new
+                CountDownLatch written = new CountDownLatch(1);
+                CountDownLatch closed = new CountDownLatch(1);
+                try (Socket client = new Socket(at.getAddress(), at.getPort())) {
+                    client.setSoTimeout(LIMIT_MS);
+                    if (answered == 0) {
+                        client.getOutputStream().write(READY.getBytes(StandardCharsets.UTF_8));
+                        assertThat(client.getInputStream().read()).isEqualTo('H');
+                        World.await("it rests", () -> door.busy() == 0);
+                    } else World.await("it is let in", () -> door.connections() == 1);
+                    loop.execute(() -> {
+                        try {
+                            written.await();
+                        } catch (InterruptedException e) {
+                            throw new IllegalStateException(e);
+                        }
+                        door.closeIdle();
+                        closed.countDown();
+                    });
+                    client.getOutputStream().write(READY.replaceFirst("\r\n", "\r\nConnection: close\r\n").getBytes(StandardCharsets.UTF_8));
+                    written.countDown();
+                    closed.await();
+                    assertThat(World.readAll(client.getInputStream())).contains("HTTP/1.1 200").endsWith("answer");
+                }
+                World.await("it is gone", () -> door.connections() == 0);
+            }
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
+    /** Ended over bytes that came behind its request, a connection was reset, and its client never read the rest of its answer. */
+    @Test
+    void anAnswerIsReadToItsEndThoughMoreCameBehindItsRequest() throws Exception {
+        byte[] many = new byte[100_000];
+        String event = "data: " + "x".repeat(20_000) + "\n\n";
+        try (StandIn reader = World.reader(); StandIn writer = new StandIn(x -> {
+            x.stream();
+            for (int i = 0; i < 10; i++) x.chunk(event);
+            x.last();
+        }); World world = new World().engine("r", "prefill", reader).engine("w", "decode", writer).start(); Socket client = new Socket()) {
+            client.setReceiveBufferSize(4_096);
+            client.setSoTimeout(LIMIT_MS);
+            client.connect(world.gateway.address());
+            client.getOutputStream().write(request("a1", "lookup", "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            client.getOutputStream().write(many);
+            World.await("answered", () -> world.gateway.remembered() == 0 && writer.count("POST") == 1);
+            assertThat(World.readAll(client.getInputStream())).endsWith("\n\n\r\n0\r\n\r\n");
+        }
+    }
+
     /** Clients that ask once and stay would otherwise take every descriptor. */
     @Test
     void idleConnectionsMakeRoomForNewOnes() throws Exception {
