What has come is heard before a time-out, a stall or a broken-off stream gives it up

Read: on a loop that is behind XNIO runs timers before it reads, so Send's time-out, its watch on a stream, Broker's guard and breakOff gave up answers that had come in time: a request that may have an effect then fails, and a stream that its engine has finished is cut after SIGTERM. Beside it EngineClient.send told the engine the time left before the call had its connection; it is told as it is written now. A list whose reading fails in any way no longer ends the watch. The last sentence (PlatformWatch) is by reading, no input is known that does it.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -111,6 +111,7 @@
         List<Entry> streams = book.all().stream().filter(e -> e.winner != null && !e.answered)
                 .sorted(Comparator.comparingLong(e -> e.number)).toList();
         for (Entry entry : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
+            send.poll(entry); // what its engine has finished is passed on to its end
             if (!book.answer(entry, Verdict.ERRORED)) continue;
             send.leave(entry);
             entry.caller.broken();
@@ -230,6 +231,7 @@
 
     /** The module gave no answer in time: nothing may be late for want of one. */
     private void overdue(Entry entry) {
+        send.poll(entry);
         if (entry.answered || entry.winner != null) return;
         log.accept("request " + entry.number + " was not answered by its deadline");
         fail(entry.number, Why.DEADLINE);
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -24,6 +24,9 @@
         /** Gives it up: nothing is heard of it any more. */
         void abort();
 
+        /** Takes in what has come of the answer already, before its turn on the loop. */
+        default void poll() { }
+
         /** Stops taking the answer's events. */
         void pause();
 
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -56,7 +56,7 @@
             ended(attempt, Outcome.STATE_GONE, 0);
             return;
         }
-        attempt.timeout = loop.at(until, () -> cut(attempt, Outcome.TIMEOUT));
+        attempt.timeout = loop.at(until, () -> expire(attempt));
         attempt.sending = engines.send(order.engine(), entry.ask, until, new Engines.Answer() {
             @Override
             public boolean wanted() {
@@ -111,6 +111,7 @@
      */
     private void watch(Entry.Try attempt, double afterMs) {
         attempt.timeout = loop.at(loop.nowMs() + afterMs, () -> {
+            poll(attempt);
             double quietMs = attempt.paused ? 0 : loop.nowMs() - attempt.heardMs;
             double stallMs = attempt.entry.ask.cargo().stallMs();
             if (quietMs >= stallMs) cut(attempt, Outcome.RESET);
@@ -118,6 +119,24 @@
         });
     }
 
+    /**
+     * Guards against a loop that is behind: its timers come before what engines answered in time, which would be given up
+     * unheard, and could be had nowhere else if it may have an effect.
+     */
+    private static void poll(Entry.Try attempt) {
+        if (!attempt.ended) attempt.sending.poll();
+    }
+
+    /** Hears what has come by now for a request. */
+    void poll(Entry entry) {
+        List.copyOf(entry.tries).forEach(Send::poll);
+    }
+
+    private void expire(Entry.Try attempt) {
+        poll(attempt);
+        if (attempt.entry.winner != attempt) cut(attempt, Outcome.TIMEOUT);
+    }
+
     /**
      * Guards against a request that no engine can use: sent to one after another it would use up all its attempts,
      * and the module would hold each of them to be failing.
--- a/src/main/java/maplerail/discovery/PlatformWatch.java
+++ b/src/main/java/maplerail/discovery/PlatformWatch.java
@@ -125,8 +125,8 @@
                     return false;
                 }
                 list = EngineList.read(Tree.object("list", text), names);
-            } catch (ConfigException e) {
-                LOG.warn("discovery: {}", e.getMessage());
+            } catch (RuntimeException e) {
+                LOG.warn("discovery: {}", e instanceof ConfigException ? e.getMessage() : e.toString());
                 rejected.run();
                 if (mine == turn) againMs = asking.unreadMs();
                 return false;
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -18,7 +18,9 @@
     private static final double WITHIN_MS = 2_000; // in which a head or chunk that has begun must end
 
     private final Pool pool;
-    private final ByteBuffer bytes;
+    private final ClientRequest request;
+    private final byte[] body;
+    private ByteBuffer bytes; // null until there is a connection
     private final Reply reply;
     private final AnswerReader reader;
     private Link link;
@@ -34,7 +36,8 @@
 
     Call(Pool pool, ClientRequest request, byte[] body, Reply reply) {
         this.pool = pool;
-        this.bytes = bytes(request, body);
+        this.request = request;
+        this.body = body;
         this.reply = reply;
         this.reader = new AnswerReader(reply);
     }
@@ -42,6 +45,8 @@
     /** The rest of a call whose answer has begun elsewhere; it is between two chunks. */
     Call(Pool pool, Reply reply) {
         this.pool = pool;
+        this.request = null;
+        this.body = null;
         this.bytes = ByteBuffer.allocate(0);
         this.reply = reply;
         this.reader = AnswerReader.continued(reply);
@@ -140,6 +145,10 @@
         link.connection.getSourceChannel().setReadListener(c -> read());
         link.connection.getSinkChannel().setWriteListener(c -> write());
         link.connection.getSourceChannel().resumeReads();
+        if (bytes == null) {
+            reply.writing(request.getRequestHeaders());
+            bytes = bytes(request, body);
+        }
         write();
     }
 
@@ -223,7 +232,7 @@
         pool.loop().execute(() -> {
             if (done) return;
             finish();
-            reply.failed(bytes.hasRemaining());
+            reply.failed(bytes == null || bytes.hasRemaining());
         });
     }
 
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -92,10 +92,15 @@
         for (Map.Entry<HttpString, String> header : cargo.headers()) {
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
-        double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
-        request.getRequestHeaders().put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
-        Call call = pool.start(to, request, cargo.body(), new Incoming(answer));
+        Call call = pool.start(to, request, cargo.body(), new Incoming(answer) {
+            // Guards against an engine that is told of time which went by while its connection came up.
+            @Override
+            public void writing(HeaderMap headers) {
+                double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
+                headers.put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
+            }
+        });
         return new Sent(call);
     }
 
@@ -108,7 +113,7 @@
     }
 
     /** An engine's answer, told as an outcome. */
-    private static final class Incoming implements Reply {
+    private static class Incoming implements Reply {
         private final Answer answer;
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
--- a/src/main/java/maplerail/net/Reply.java
+++ b/src/main/java/maplerail/net/Reply.java
@@ -10,6 +10,9 @@
         return true;
     }
 
+    /** It has its connection and is written now: the last moment for what its head says of time. */
+    default void writing(HeaderMap headers) { }
+
     /** The request's last byte has been written. */
     default void written() { }
 
--- a/src/main/java/maplerail/net/Sent.java
+++ b/src/main/java/maplerail/net/Sent.java
@@ -14,6 +14,11 @@
         call.abort();
     }
 
+    @Override
+    public void poll() {
+        call.poll();
+    }
+
     @Override
     public void pause() {
         call.pause();
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** The broker between a scripted module and engines that are not there. */
@@ -78,6 +79,7 @@
         final Engines.Answer answer;
         boolean aborted;
         boolean paused;
+        Runnable come = () -> { }; // what waits to be read
 
         Out(Engines.Answer answer) {
             this.answer = answer;
@@ -94,6 +96,13 @@
             wire.add("cut");
         }
 
+        @Override
+        public void poll() {
+            Runnable now = come;
+            come = () -> { };
+            now.run();
+        }
+
         @Override
         public void pause() {
             paused = true;
@@ -374,6 +383,35 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** A loop that is behind comes to its timers first: an answer that was in time was given up unheard. */
+    @ParameterizedTest
+    @CsvSource({"3000, false", "0, false", "0, true"})
+    void whatHasComeIsHeardBeforeItIsGivenUp(double untilMs, boolean stall) {
+        take("a", new Router.Send(1, WRITER, untilMs == 0 ? 0 : loop.now + untilMs));
+        Out attempt = out.get(0);
+        if (stall) {
+            attempt.answer.event(new byte[1]);
+            loop.now += 2_900;
+        }
+        attempt.come = () -> {
+            attempt.answer.event(new byte[1]);
+            attempt.answer.ended(Outcome.SERVED, 0);
+        };
+        loop.until(20_000);
+        assertThat(caller).endsWith("event", "end").doesNotContain("broken", "fail DEADLINE");
+        assertThat(outcomes()).containsExactly(Outcome.SERVED);
+        assertThat(broker.remembered()).isZero();
+    }
+
+    @Test
+    void aStreamThatItsEngineHasFinishedIsPassedOnToItsEndThoughStreamsAreLeft() {
+        take("a", send(WRITER));
+        out.get(0).answer.event(new byte[1]);
+        out.get(0).come = () -> out.get(0).answer.ended(Outcome.SERVED, 0);
+        broker.breakOff(1);
+        assertThat(caller).containsExactly("event", "end");
+    }
+
     @Test
     void theDeadlineStopsAtTheFirstEvent() {
         take("a", send(WRITER));
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.BlockingQueue;
 import maplerail.Router;
 import maplerail.config.EngineList;
+import maplerail.core.Ask;
+import maplerail.core.Engines;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
@@ -312,6 +314,44 @@
         }
     }
 
+    /** An attempt that waited for its connection told its engine of time that had gone by. */
+    @Test
+    void whatAnEngineIsToldOfTimeIsWhatIsLeftAsItIsWritten() throws Exception {
+        BlockingQueue<StandIn.Exchange> taken = World.queue();
+        try (StandIn server = new StandIn(taken::add)) {
+            EngineClient client = new EngineClient(pool(30_000, 1).unsettled());
+            client.hear(new EngineList(1, true, List.of(new Router.Member(1, Router.State.READY, 0, 0, 0, 1, 0)),
+                    Map.of(1L, server.socketAddress())));
+            HttpCargo cargo = new HttpCargo(Methods.POST, "/", List.of(), new byte[2]);
+            Ask ask = new Ask("a1", 0, 0, 0, 1, 0, 0, 5_000, 1, 0, false, 2, cargo);
+            double until = loop.nowMs() + 5_000;
+            loop.execute(() -> {
+                client.send(1, ask, until, new Untold());
+                client.send(1, ask, until, new Untold());
+            });
+            StandIn.Exchange first = take(taken);
+            double from = loop.nowMs();
+            World.await("time goes by", () -> loop.nowMs() > from + 20);
+            double left = until - loop.nowMs();
+            first.reply(202, "{}");
+            assertThat(Double.parseDouble(take(taken).headers.get("req-deadline")) * 1_000).isLessThanOrEqualTo(left + 1);
+        }
+    }
+
+    private static final class Untold implements Engines.Answer {
+        @Override
+        public void written() { }
+
+        @Override
+        public void event(byte[] event) { }
+
+        @Override
+        public void unfit() { }
+
+        @Override
+        public void ended(Router.Outcome outcome, double kept) { }
+    }
+
     /** A long day replaces engines all the time. */
     @Test
     void enginesThatLeftAreForgottenInTheEnd() throws Exception {
