Keyed work is copied and written only while its repeats are dropped, reads that are out included

Cause: the wire's rule binds what may have run or is still out, reads too until they end. Logic.overdue copied a read that was out whatever the window, repeatAllowed let every reader pass, giveUp refused keyed work of a zone or cell with a read out. Beside it a repeat decided in its window could wait for its connection past it (core.Send asks before it is written now). Ruled out: the client's own retry (one session, one id), two writes (no keyed request had two).

--- a/src/main/java/maplerail/Logic.java
+++ b/src/main/java/maplerail/Logic.java
@@ -787,16 +787,16 @@
         return request.kind.repeat() == Repeat.UNSAFE || now >= first.sentMs + request.kind.keyTtlMs();
     }
 
-    /** Keyed work that may have run goes only where its repeats are dropped; unsafe work nowhere. */
+    /** Unsafe work that may have run goes nowhere; keyed work that may, or is out, where it is dropped. */
     private boolean repeatAllowed(Request request, Engine engine) {
-        Attempt first = request.mayHaveRun;
-        if (first == null || request.kind.repeat() == Repeat.PURE || engine.role == Role.READ) return true;
-        if (unrepeatable(request)) return false;
-        return switch (request.kind.scope()) {
-            case ALL -> true;
-            case ZONE -> engine.member.zone() == first.engine.member.zone();
-            case CELL -> engine.member.cell() == first.engine.member.cell();
-        };
+        RequestClass kind = request.kind;
+        if (kind.repeat() != Repeat.KEYED) return engine.role == Role.READ || !unrepeatable(request);
+        return request.attempts.stream().allMatch(a -> a.ended && a != request.mayHaveRun
+                || now < a.sentMs + kind.keyTtlMs() && grouped(kind.scope(), a.engine.member, engine.member));
+    }
+
+    private static boolean grouped(Scope scope, Member a, Member b) {
+        return scope == Scope.ALL || (scope == Scope.ZONE ? a.zone() == b.zone() : a.cell() == b.cell());
     }
 
     private boolean cold(Engine engine) {
@@ -873,9 +873,10 @@
         // A full writer's queue is quiet too: only silence as long as an aim counts against the engine.
         if (silent && now - attempt.engine.heardMs > request.kind.aimMs()) bad(attempt.engine, attempt);
         retryTokens = Math.max(0, retryTokens - 1);
-        // Guards against a second send of unsafe work while the first is out, a read's included: call it off.
-        if (attempt.read && request.limits.secondCopies() && !unsafe) read(request, attempt.engine);
-        else cancel(attempt);
+        // Guards against a second send that nothing drops while the first is out, a read's too: call it off.
+        boolean copy = attempt.read && request.limits.secondCopies() && !unsafe;
+        if (copy && repeatAllowed(request, attempt.engine)) read(request, attempt.engine);
+        else request.attempts.forEach(this::cancel);
     }
 
     private void cancel(Attempt attempt) {
@@ -893,9 +894,10 @@
         // had its effect can be neither repeated nor taken elsewhere.
         boolean spent = request.attempts.size() >= request.limits.maxAttempts() || unrepeatable(request);
         if (spent || lastMoment(request) <= now) giveUp(request);
+        // Guards against work that overtakes, on its way, the end of the read called off before it.
+        else if (outcome == Outcome.CANCELLED && attempt.read && request.kind.repeat() != Repeat.PURE)
+            wait(request);
         else if (request.holder != null) write(request, attempt.engine);
-        // Guards against unsafe work that overtakes, on its way, the end of the attempt called off before it.
-        else if (outcome == Outcome.CANCELLED && request.kind.repeat() == Repeat.UNSAFE) wait(request);
         else read(request, attempt.engine);
     }
 
@@ -998,9 +1000,8 @@
     /** Ends a request unserved, at once; refused if a retry is harmless, to come later, not all at once. */
     private void giveUp(Request request) {
         if (request.phase == Phase.DONE || request.phase == Phase.STREAMING) return;
-        // Unsafe work with a read still out has no proof yet either.
-        boolean unsure = request.kind.repeat() == Repeat.UNSAFE && request.out > 0;
-        boolean harmless = request.mayHaveRun == null && !unsure || request.kind.repeat() == Repeat.PURE
+        boolean unsure = request.mayHaveRun != null || request.out > 0; // a read that is out has no proof yet
+        boolean harmless = !unsure || request.kind.repeat() == Repeat.PURE
                 || request.kind.repeat() == Repeat.KEYED && request.kind.scope() == Scope.ALL;
         double most = Math.min(settings.limits().maxRetryAfterMs(), WAIT_MS);
         double later = settings.limits().retryAfter() ? most * (1 - random.nextDouble() / 2) : 0;
--- a/src/main/java/maplerail/core/Entry.java
+++ b/src/main/java/maplerail/core/Entry.java
@@ -47,6 +47,12 @@
         return tries.stream().anyMatch(t -> !t.ended && t.engine == engine);
     }
 
+    /** True while an attempt that is out, or may have had its effect, forbids that another is written: its window is over. */
+    boolean windowOver(Try attempt, double nowMs) {
+        return tries.stream().anyMatch(t -> t != attempt && (!t.ended || t.mayHaveRun)
+                && nowMs >= t.sentMs + terms.windowMs(ask));
+    }
+
     /** One attempt. */
     static final class Try {
         final Entry entry;
@@ -60,6 +66,7 @@
         double heardMs;
         boolean paused;
         boolean ended;
+        boolean mayHaveRun;
 
         Try(Entry entry, long engine, boolean reader, double sentMs) {
             this.entry = entry;
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -61,6 +61,8 @@
             @Override
             public boolean wanted() {
                 notice(entry);
+                // Guards against a repeat that the module decided in its window, and that waited past it for a connection.
+                if (entry.windowOver(attempt, loop.nowMs())) cut(attempt, Outcome.CANCELLED);
                 return !attempt.ended;
             }
 
@@ -230,6 +232,7 @@
         touched.add(attempt.entry);
         if (attempt.timeout != null) attempt.timeout.cancel();
         Entry entry = attempt.entry;
+        attempt.mayHaveRun = !attempt.reader && !outcome.neverRan;
         boolean read = outcome == Outcome.READ;
         if (read) {
             entry.holds.add(attempt.engine);
--- a/src/test/java/maplerail/LogicTest.java
+++ b/src/test/java/maplerail/LogicTest.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import maplerail.Router.Arrival;
 import maplerail.Router.Cancel;
 import maplerail.Router.Fail;
@@ -528,6 +530,53 @@
         assertEquals(1, node.of(Fail.class).size());
     }
 
+    /** A read that is still out counts as one that may run: past its window nothing goes out until all are called off. */
+    @ParameterizedTest
+    @CsvSource({"300, 1, 1", "600, 2, 2", "9000, 3, 0"})
+    void aKeyedReadIsCopiedOnlyWhileItsRepeatsAreDropped(double ttlMs, int sends, int cancels) {
+        Node node = new Node();
+        node.repeat = Repeat.KEYED;
+        node.keyTtlMs = ttlMs;
+        node.start(reader(1), reader(2), reader(3), writer(11));
+        node.arrive(1);
+        node.until(1_990);
+        assertEquals(sends, node.sends().size());
+        assertEquals(cancels, node.of(Cancel.class).size());
+        if (cancels == 0) return;
+        for (int i = 0; i < sends; i++) node.end(1, i, Outcome.CANCELLED);
+        assertEquals(sends, node.sends().size(), "the end of the first is still on its way");
+        node.until(2_030);
+        assertEquals(sends + 1, node.sends().size(), "what has ended at a reader had no effect");
+    }
+
+    @Test
+    void aKeyedReadIsCopiedInItsGroupAlone() {
+        Node node = new Node();
+        node.repeat = Repeat.KEYED;
+        node.scope = Scope.CELL;
+        node.keyTtlMs = 9_000;
+        node.start(new Member(1, State.READY, 0, 0, 1, 1, 0), new Member(2, State.READY, 0, 0, 2, 1, 0), writer(11));
+        node.arrive(1);
+        long first = node.sent().engine();
+        node.until(4_000);
+        assertTrue(node.sends().size() > 1);
+        assertTrue(node.sends().stream().allMatch(s -> s.engine() == first));
+    }
+
+    /** A repeat is no harm only where it is dropped everywhere, or nothing is out. */
+    @Test
+    void aKeyedRequestThatIsOutInItsGroupIsNotRefused() {
+        Node node = new Node();
+        node.repeat = Repeat.KEYED;
+        node.scope = Scope.ZONE;
+        node.cancel = false;
+        node.start(reader(1), writer(11));
+        node.arrive(1);
+        node.until(7_000);
+        assertEquals(1, node.of(Fail.class).size());
+        assertTrue(node.of(Refuse.class).isEmpty());
+    }
+
     @Test
     void twoAttemptsAtOnceNeedLeave() {
         Node node = new Node();
--- a/src/test/java/maplerail/Node.java
+++ b/src/test/java/maplerail/Node.java
@@ -27,6 +27,7 @@
     /** Settings that a test changes before it starts the module. */
     Repeat repeat = Repeat.PURE;
     Scope scope = Scope.ALL;
+    double keyTtlMs = 2_000;
     boolean cancel = true;
     boolean copies = true;
     boolean ask;
@@ -45,8 +46,8 @@
     private Logic logic;
 
     Node start(Member... members) {
-        RequestClass cheap = new RequestClass(1_000, 0.04, 5_000, 60, 1, 0.1, repeat, scope, 2_000);
-        RequestClass dear = new RequestClass(2_500, 0.04, 12_000, 80, 3, 0.3, repeat, scope, 2_000);
+        RequestClass cheap = new RequestClass(1_000, 0.04, 5_000, 60, 1, 0.1, repeat, scope, keyTtlMs);
+        RequestClass dear = new RequestClass(2_500, 0.04, 12_000, 80, 3, 0.3, repeat, scope, keyTtlMs);
         logic = new Logic(new Settings(seed, routers, 0, 2, ask, overShareWorth, List.of(cheap, dear), tenants, kinds,
                 new Limits(5, cancel, copies, retryAfter, 1_000, writersRead),
                 rules));
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -403,6 +403,23 @@
         assertThat(broker.remembered()).isZero();
     }
 
+    /** Decided in its window, a repeat waited past it for its connection, and was a second copy that nothing drops. */
+    @ParameterizedTest
+    @CsvSource({"1100, false", "900, true"})
+    void aKeyedRepeatIsNotWrittenPastItsWindow(double afterMs, boolean written) {
+        Router.RequestClass keyed = new Router.RequestClass(1_000, 0, 5_000, 60, 1, 0, Router.Repeat.KEYED, Router.Scope.ALL, 1_000);
+        broker.retune(new Router.Settings(1, 1, 0, 2, false, 1, List.of(keyed), List.of(), List.of(),
+                new Router.Limits(5, true, true, true, 1_000, false), new Router.Rules(8, 500, 1, 1, 1, 1, 1)), List.of("a"));
+        take("a", send(READER));
+        loop.until(1_900);
+        act(send(READER));
+        unsent = true;
+        loop.until(1_000 + afterMs);
+        assertThat(out.get(1).answer.wanted()).isEqualTo(written);
+        assertThat(out.get(1).aborted).isNotEqualTo(written);
+        assertThat(outcomes()).isEqualTo(written ? List.of() : List.of(Outcome.NOT_SENT));
+    }
+
     @Test
     void aStreamThatItsEngineHasFinishedIsPassedOnToItsEndThoughStreamsAreLeft() {
         take("a", send(WRITER));
