--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformWatchTest.java
@@ -110,9 +110,12 @@
         }
     }
 
-    /** A watch falls silent, is reset, or its agent is silent to all for a while: what it missed is asked for anew, at once. */
+    /**
+     * A watch falls silent, at once or after a part of its list, is reset, or its agent is silent to all for a while or asks for
+     * a long one: what it missed is asked for anew, soon.
+     */
     @ParameterizedTest
-    @ValueSource(strings = {"silent", "reset", "down"})
+    @ValueSource(strings = {"silent", "part", "reset", "down", "refused"})
     void aWatchThatIsLostIsOpenedAnew(String fault) throws Exception {
         AtomicInteger lost = new AtomicInteger();
         List<Long> asked = new CopyOnWriteArrayList<>();
@@ -123,7 +126,11 @@
                     else if (asked.size() == 1) x.reply(200, "{\"seq\":3,\"whole\":false,\"hosts\":[]}");
                     else if (lost.getAndIncrement() > (fault.equals("down") ? 12 : 0)) x.reply(200, drained(reader, leaving, other));
                     else if (fault.equals("reset")) x.reset();
-                    else x.awaitEnd();
+                    else if (fault.equals("refused")) x.write("HTTP/1.1 503 X\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n");
+                    else {
+                        if (fault.equals("part")) x.write("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"seq\":9,");
+                        x.awaitEnd();
+                    }
                 });
                 World world = new World().engine("r", "prefill", reader).engine("w1", "decode", leaving).discoveredBy(agent)) {
             world.start();
