--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= config.json
 TOOLS ?=
 
-.PHONY: build test lint run
+.PHONY: build test format lint run
 
 build:
 	mvn -q -B -DskipTests package
@@ -10,9 +10,13 @@
 test:
 	mvn -B verify
 
-# The compiler's warnings as errors, and the rules on which package may know which.
+# Formats all sources as the build checks them.
+format:
+	mvn -q -B spotless:apply
+
+# The format, the compiler's warnings as errors, and the rules on which package may know which.
 lint:
-	mvn -q -B clean test -Dmaven.compiler.failOnWarning=true -Dtest=ArchitectureTest
+	mvn -q -B spotless:check clean test -Dmaven.compiler.failOnWarning=true -Dtest=ArchitectureTest
 
 run: build
 	java -XX:+UseSerialGC -Xmx80m -jar target/maplerail.jar serve --config $(CONFIG) $(if $(TOOLS),--tools $(TOOLS))
