General structures for decisions: averages, token bucket, rendezvous hash, bounded tables

Cause: the decision module keeps such state in bare arrays and maps. Change: package algorithms, which decides nothing, with its own tests; nothing uses it yet.

--- /dev/null
+++ b/src/test/java/maplerail/algorithms/TokenBucketTest.java
@@ -0,0 +1,39 @@
+package maplerail.algorithms;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TokenBucketTest {
+    @Test
+    void itFillsAtItsRateUpToItsCapacity() {
+        TokenBucket bucket = new TokenBucket(0, 0);
+        bucket.refill(10, 0.25, 5);
+        assertThat(bucket.tokens()).isEqualTo(2.5);
+        bucket.refill(1_000, 0.25, 5);
+        assertThat(bucket.tokens()).isEqualTo(5);
+    }
+
+    @Test
+    void aTokenThatIsNotWholeIsLeftByATry() {
+        TokenBucket bucket = new TokenBucket(1.5, 0);
+        assertThat(bucket.tryTake()).isTrue();
+        assertThat(bucket.tryTake()).isFalse();
+        assertThat(bucket.tokens()).isEqualTo(0.5);
+    }
+
+    @Test
+    void aTokenThatIsNotWholeIsDrained() {
+        TokenBucket bucket = new TokenBucket(1.5, 0);
+        assertThat(bucket.takeOrDrain()).isTrue();
+        assertThat(bucket.takeOrDrain()).isFalse();
+        assertThat(bucket.tokens()).isZero();
+    }
+
+    @Test
+    void aTokenCanBeTakenOnCredit() {
+        TokenBucket bucket = new TokenBucket(0.5, 0);
+        bucket.take();
+        assertThat(bucket.tokens()).isEqualTo(-0.5);
+    }
+}
