--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -17,8 +17,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
-import maplerail.Logic;
-import maplerail.Router;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
 import maplerail.config.NodeConfig;
@@ -49,6 +47,14 @@
 import maplerail.net.PeerLink;
 import maplerail.net.Pool;
 import maplerail.net.XnioLoop;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
+import maplerail.routing.d2lpm.D2lpmPolicy;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -178,7 +184,7 @@
                         loop, buffers, config.wire().connIdleMs(), config.wire().connectTimeoutMs(), LIST_SOCKETS)
                 .unsettled();
         engines = new EngineClient(pool);
-        Router.Settings settings = config.settings();
+        RoutingSettings settings = config.settings();
         admit = new Admit(
                 Budgets.open(config.wire().maxOpen()), loop, new SplittableRandom(settings.seed() ^ ADVICE_DRAWS));
         broker = new Broker(
@@ -196,7 +202,7 @@
                 loop,
                 config.discovery(),
                 config.names(),
-                !settings.askForList(),
+                !settings.subscribes(),
                 new SplittableRandom(settings.seed() ^ WATCH_DRAWS),
                 this::hear,
                 metrics::listRejected);
@@ -223,19 +229,19 @@
         }
 
         @Override
-        public void ended(long engine, Router.Outcome outcome) {
-            boolean good = outcome == Router.Outcome.READ || outcome == Router.Outcome.SERVED;
-            boolean failed = outcome == Router.Outcome.ERROR || outcome == Router.Outcome.RESET;
+        public void ended(long engine, AttemptOutcome outcome) {
+            boolean good = outcome == AttemptOutcome.PROMPT_READ || outcome == AttemptOutcome.COMPLETED;
+            boolean failed = outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.RESET;
             if (outliers != null && (good || failed)) outliers.outcome(engine, good, loop.nowMs());
         }
     }
 
     /** The module, with what it hears and orders written down where the operators have that logger on. */
-    private static Router module(Router.Settings settings) {
+    private static RoutingPolicy module(RoutingSettings settings) {
         Logger decisions = LoggerFactory.getLogger(DecisionLog.class);
         return decisions.isDebugEnabled()
-                ? new DecisionLog(new Logic(settings), decisions::debug)
-                : new Logic(settings);
+                ? new DecisionLog(new D2lpmPolicy(settings), decisions::debug)
+                : new D2lpmPolicy(settings);
     }
 
     /** The phase it is in. */
@@ -279,8 +285,8 @@
             EngineList known = config.known();
             if (known != null) {
                 engines.hear(known);
-                broker.members(
-                        view.hear(new Router.Members(Router.ListKind.REMEMBERED, known.version(), known.members())));
+                broker.members(view.hear(new RoutingEvent.EndpointUpdate(
+                        EndpointUpdateKind.REMEMBERED, known.version(), known.members())));
             }
             watch.start(known);
             if (tools != null) tools.start();
@@ -310,7 +316,7 @@
      * that could be obeyed, and what is known has to do.
      */
     private void awaitList() {
-        if (config.settings().askForList() || config.known() == null) {
+        if (config.settings().subscribes() || config.known() == null) {
             open();
             return;
         }
@@ -390,8 +396,10 @@
 
     private void hear(EngineList list) {
         engines.hear(list);
-        broker.members(view.hear(new Router.Members(
-                list.whole() ? Router.ListKind.WHOLE : Router.ListKind.CHANGES, list.version(), list.members())));
+        broker.members(view.hear(new RoutingEvent.EndpointUpdate(
+                list.whole() ? EndpointUpdateKind.SNAPSHOT : EndpointUpdateKind.DELTA,
+                list.version(),
+                list.members())));
         if (outliers != null) outliers.engines(view.kinds());
         if (exchange != null) exchange.engines(broker.readers());
         ready();
@@ -410,7 +418,7 @@
     public void reload(NodeConfig news) {
         loop.execute(() -> {
             config = news;
-            Router.Settings settings = news.settings();
+            RoutingSettings settings = news.settings();
             NodeConfig.Wire wire = news.wire();
             admit.retune(Budgets.open(wire.maxOpen()));
             pool.retune(wire.connIdleMs(), wire.connectTimeoutMs());
@@ -533,14 +541,14 @@
         if (leaving()) return;
         byte[] datagram = outliers.due();
         if (datagram != null && peerLink != null) peerLink.send(config.peers().all(), datagram);
-        Router.Members news =
+        RoutingEvent.EndpointUpdate news =
                 view.hold(outliers.decide(loop.nowMs(), g -> membership.state(g) == Membership.State.ALIVE));
         if (news != null) {
-            for (Router.Member one : news.members()) {
+            for (Endpoint one : news.endpoints()) {
                 LOG.info(
                         "{}: {}",
                         Long.toHexString(one.engine()),
-                        one.state() == Router.State.READY ? "used again" : "held, as it failed several gateways");
+                        one.state() == EndpointState.READY ? "used again" : "held, as it failed several gateways");
             }
             broker.members(news);
         }
@@ -573,8 +581,8 @@
                 config.peers().members().size());
     }
 
-    private Router.Settings shared(Router.Settings settings) {
-        return live == 0 ? settings : settings.withRouters(live);
+    private RoutingSettings shared(RoutingSettings settings) {
+        return live == 0 ? settings : settings.withGateways(live);
     }
 
     /** Tells the tier what this gateway saw of readers since it last did, if anything; then again a period later. */
@@ -684,7 +692,7 @@
 
     private double forceMs() {
         double longest = config.settings().classes().stream()
-                .mapToDouble(Router.RequestClass::deadlineMs)
+                .mapToDouble(RoutingSettings.RequestClass::deadlineMs)
                 .max()
                 .orElse(0);
         return Math.min(MOST_WAIT_MS, longest) + FORCE_MS;
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import maplerail.Logic;
-import maplerail.Router;
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.ToolsConfig;
@@ -18,6 +16,12 @@
 import maplerail.net.Pool;
 import maplerail.net.ToolClient;
 import maplerail.net.XnioLoop;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingSettings;
+import maplerail.routing.d2lpm.D2lpmPolicy;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,7 +52,7 @@
         this.loop = loop;
         this.seed = seed;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
-        Router.Settings settings = config.settings(seed);
+        RoutingSettings settings = config.settings(seed);
         Admit admit = new Admit(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
@@ -56,7 +60,7 @@
             brokers.put(
                     name,
                     new Broker(
-                            new Logic(settings),
+                            new D2lpmPolicy(settings),
                             settings,
                             admit,
                             loop,
@@ -99,14 +103,15 @@
                 true,
                 addresses.keySet().stream()
                         .sorted()
-                        .map(id -> new Router.Member(id, Router.State.READY, 0, 0, 0, 1, 0))
+                        .map(id -> new Endpoint(id, EndpointState.READY, 0, 0, 0, 1, 0))
                         .toList(),
                 addresses);
     }
 
     private void hear(String service, EngineList list) {
         clients.get(service).addresses(list.addresses());
-        brokers.get(service).members(new Router.Members(Router.ListKind.WHOLE, list.version(), list.members()));
+        brokers.get(service)
+                .members(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, list.version(), list.members()));
     }
 
     int remembered() {
--- a/src/main/java/maplerail/config/EngineList.java
+++ b/src/main/java/maplerail/config/EngineList.java
@@ -5,26 +5,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import maplerail.Router;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
 
 /** A list of engines, or the changes to one, as discovery words it: what to tell the module, and where they are. */
-public record EngineList(
-        long version, boolean whole, List<Router.Member> members, Map<Long, InetSocketAddress> addresses) {
+public record EngineList(long version, boolean whole, List<Endpoint> members, Map<Long, InetSocketAddress> addresses) {
     private static final int UNKNOWN = 255; // a kind or zone that the settings do not name
 
     /** Reads discovery's JSON. An entry that cannot be read is passed over, as one must not hide the others. */
     public static EngineList read(Tree root, Names names) {
-        List<Router.Member> members = new ArrayList<>();
+        List<Endpoint> members = new ArrayList<>();
         Map<Long, InetSocketAddress> addresses = new LinkedHashMap<>();
         for (Tree host : root.need("hosts").list()) {
             String name = host.at("host").text("");
             if (name.isEmpty()) continue;
             long id = EngineIds.of(name);
             InetSocketAddress address = Address.parse(host.at("dial").text(null));
-            Router.State state = state(host.at("health").text(""));
-            if (state == Router.State.READY && address == null) continue;
+            EndpointState state = state(host.at("health").text(""));
+            if (state == EndpointState.READY && address == null) continue;
             if (address != null) addresses.put(id, address);
-            members.add(new Router.Member(
+            members.add(new Endpoint(
                     id,
                     state,
                     host.at("born_ms").number(0),
@@ -38,11 +38,11 @@
     }
 
     /** A health that is not known gets nothing new: safer than work for an engine that may want none. */
-    private static Router.State state(String health) {
+    private static EndpointState state(String health) {
         return switch (health) {
-            case "in_service" -> Router.State.READY;
-            case "terminated" -> Router.State.GONE;
-            default -> Router.State.DRAINING;
+            case "in_service" -> EndpointState.READY;
+            case "terminated" -> EndpointState.REMOVED;
+            default -> EndpointState.DRAINING;
         };
     }
 
--- a/src/main/java/maplerail/config/NodeConfig.java
+++ b/src/main/java/maplerail/config/NodeConfig.java
@@ -4,7 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import maplerail.Router;
+import maplerail.routing.EngineRole;
+import maplerail.routing.RoutingSettings;
 
 /**
  * What one gateway is told at its start. {@code admin} is where operators ask, or null; {@code inherited} tells that the
@@ -17,7 +18,7 @@
         InetSocketAddress admin,
         boolean inherited,
         Names names,
-        Router.Settings settings,
+        RoutingSettings settings,
         EngineList known,
         Wire wire,
         Peers peers) {
@@ -62,10 +63,13 @@
         NodeConfig old = read(before, environment);
         if (!news.names.kinds().equals(old.names.kinds())) throw fixed("shapes");
         if (!news.names.zones().equals(old.names.zones())) throw fixed("localities");
-        List<Router.Role> roles =
-                old.settings.kinds().stream().map(Router.Kind::role).toList();
-        if (!news.settings.kinds().stream().map(Router.Kind::role).toList().equals(roles))
-            throw fixed("familyInfo.kindRole");
+        List<EngineRole> roles = old.settings.engineKinds().stream()
+                .map(RoutingSettings.EngineKind::role)
+                .toList();
+        if (!news.settings.engineKinds().stream()
+                .map(RoutingSettings.EngineKind::role)
+                .toList()
+                .equals(roles)) throw fixed("familyInfo.kindRole");
         return news;
     }
 
--- a/src/main/java/maplerail/config/SettingsReader.java
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -4,9 +4,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import maplerail.Router;
+import maplerail.routing.EngineRole;
+import maplerail.routing.Idempotency;
+import maplerail.routing.IdempotencyScope;
+import maplerail.routing.RoutingSettings;
 
-/** Turns the start-up settings into {@link Router.Settings}. */
+/** Turns the start-up settings into {@link RoutingSettings}. */
 public final class SettingsReader {
     private SettingsReader() {}
 
@@ -14,7 +17,7 @@
      * The settings, the place of the memory share in a load report (-1: not reported), and this instance's rank in
      * its tier where instances may tell each other ({@code limits.mayTell}), else -1.
      */
-    public record Parsed(Router.Settings settings, int memoryColumn, int tellRank) {}
+    public record Parsed(RoutingSettings settings, int memoryColumn, int tellRank) {}
 
     /** Reads the text of the settings. */
     public static Parsed read(long seed, String text) {
@@ -25,7 +28,7 @@
     public static Parsed read(long seed, Tree root) {
         Tree family = root.need("familyInfo");
         return new Parsed(
-                new Router.Settings(
+                new RoutingSettings(
                         seed,
                         (int) root.need("balancers").number(),
                         (int) root.need("zone").number(),
@@ -41,8 +44,8 @@
                 root.at("limits").at("mayTell").flag() ? (int) root.at("rank").number(-1) : -1);
     }
 
-    private static List<Router.RequestClass> classes(Tree root, Tree family) {
-        List<Router.RequestClass> out = new ArrayList<>();
+    private static List<RoutingSettings.RequestClass> classes(Tree root, Tree family) {
+        List<RoutingSettings.RequestClass> out = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Tree lane : root.need("lanes").list()) {
             int i = out.size();
@@ -51,7 +54,7 @@
             boolean twice =
                     lane.at("name").present() && !names.add(lane.at("name").text());
             if (twice) throw new ConfigException(lane.at("name").path() + ": twice");
-            out.add(new Router.RequestClass(
+            out.add(new RoutingSettings.RequestClass(
                     lane.need("goalTimeMs").number(),
                     aimUsPerK / 1e6,
                     above0(lane.need("deadlineMs")),
@@ -59,7 +62,7 @@
                     lane.at("worth").number(1),
                     lane.at("lateShare").number(0),
                     repeat(lane.need("repeat")),
-                    lane.at("keyScope").present() ? scope(lane.at("keyScope")) : Router.Scope.ALL,
+                    lane.at("keyScope").present() ? scope(lane.at("keyScope")) : IdempotencyScope.ALL,
                     lane.at("keyTtlMs").number(0)));
         }
         if (out.isEmpty()) throw new ConfigException(root.at("lanes").path() + ": names nothing");
@@ -73,20 +76,20 @@
     }
 
     /** The repeat rule that a word stands for. */
-    public static Router.Repeat repeat(Tree word) {
+    public static Idempotency repeat(Tree word) {
         return switch (word.text()) {
-            case "pure" -> Router.Repeat.PURE;
-            case "token" -> Router.Repeat.KEYED;
-            case "side_effect" -> Router.Repeat.UNSAFE;
+            case "pure" -> Idempotency.IDEMPOTENT;
+            case "token" -> Idempotency.IDEMPOTENCY_KEY;
+            case "side_effect" -> Idempotency.NON_IDEMPOTENT;
             default -> throw unknown(word);
         };
     }
 
-    private static Router.Scope scope(Tree word) {
+    private static IdempotencyScope scope(Tree word) {
         return switch (word.text()) {
-            case "all" -> Router.Scope.ALL;
-            case "zone" -> Router.Scope.ZONE;
-            case "cell" -> Router.Scope.CELL;
+            case "all" -> IdempotencyScope.ALL;
+            case "zone" -> IdempotencyScope.ZONE;
+            case "cell" -> IdempotencyScope.CELL;
             default -> throw unknown(word);
         };
     }
@@ -95,30 +98,30 @@
         return new ConfigException(word.path() + ": unknown value '" + word.text() + "'");
     }
 
-    private static List<Router.Tenant> tenants(Tree root) {
+    private static List<RoutingSettings.Tenant> tenants(Tree root) {
         return root.at("parties").list().stream()
-                .map(party -> new Router.Tenant(party.at("quotaRps").number(0)))
+                .map(party -> new RoutingSettings.Tenant(party.at("quotaRps").number(0)))
                 .toList();
     }
 
-    private static List<Router.Kind> kinds(Tree family) {
-        List<Router.Kind> out = new ArrayList<>();
+    private static List<RoutingSettings.EngineKind> kinds(Tree family) {
+        List<RoutingSettings.EngineKind> out = new ArrayList<>();
         for (Tree role : family.need("kindRole").list()) {
-            Router.Role known = switch (role.text()) {
-                case "read" -> Router.Role.READ;
-                case "write" -> Router.Role.WRITE;
-                case "both" -> Router.Role.BOTH;
+            EngineRole known = switch (role.text()) {
+                case "read" -> EngineRole.READER;
+                case "write" -> EngineRole.WRITER;
+                case "both" -> EngineRole.BOTH;
                 default -> throw new ConfigException("settings: kindRole: unknown role '" + role.text() + "'");
             };
-            out.add(new Router.Kind(
+            out.add(new RoutingSettings.EngineKind(
                     known, family.at("kindMemoryTokens").at(out.size()).number(0)));
         }
         return List.copyOf(out);
     }
 
-    private static Router.Limits limits(Tree root, Tree family) {
+    private static RoutingSettings.Limits limits(Tree root, Tree family) {
         Tree limits = root.need("limits");
-        return new Router.Limits(
+        return new RoutingSettings.Limits(
                 (int) Math.max(1, above0(limits.need("sendCap"))),
                 limits.at("cancel").flag(),
                 limits.at("secondCopies").flag(),
@@ -127,9 +130,9 @@
                 family.at("readInPlace").flag());
     }
 
-    private static Router.Rules rules(Tree root, Tree family) {
+    private static RoutingSettings.Rules rules(Tree root, Tree family) {
         Tree rules = root.need("rules");
-        return new Router.Rules(
+        return new RoutingSettings.Rules(
                 rules.at("answerSlackMs").number(0),
                 family.need("pinLimitMs").number(),
                 rules.need("startCapacity").number(),
--- a/src/main/java/maplerail/config/ToolsConfig.java
+++ b/src/main/java/maplerail/config/ToolsConfig.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
-import maplerail.Router;
 import maplerail.core.Budgets;
+import maplerail.routing.EngineRole;
+import maplerail.routing.Idempotency;
+import maplerail.routing.IdempotencyScope;
+import maplerail.routing.RoutingSettings;
 
 /** The operator's file that switches the tool front on: services, tools, their contracts and the teams' budgets. */
 public record ToolsConfig(
@@ -32,7 +35,7 @@
     /** What is promised and asked for calls of a class. */
     public record Contract(
             String name,
-            Router.Repeat repeat,
+            Idempotency repeat,
             double deadlineMs,
             double mostDeadlineMs,
             int mostArgument,
@@ -145,12 +148,12 @@
     }
 
     /** The settings of a module that decides for tool servers: each answers by itself, and holds nothing. */
-    public Router.Settings settings(long seed) {
-        List<Router.RequestClass> classes = contracts.stream()
-                .map(c -> new Router.RequestClass(
-                        c.deadlineMs(), 0, c.deadlineMs(), 0, 1, 0, c.repeat(), Router.Scope.ALL, c.deadlineMs()))
+    public RoutingSettings settings(long seed) {
+        List<RoutingSettings.RequestClass> classes = contracts.stream()
+                .map(c -> new RoutingSettings.RequestClass(
+                        c.deadlineMs(), 0, c.deadlineMs(), 0, 1, 0, c.repeat(), IdempotencyScope.ALL, c.deadlineMs()))
                 .collect(Collectors.toList());
-        return new Router.Settings(
+        return new RoutingSettings(
                 seed,
                 1,
                 0,
@@ -159,8 +162,8 @@
                 1,
                 classes,
                 List.of(),
-                List.of(new Router.Kind(Router.Role.BOTH, 1e6)),
-                new Router.Limits(4, true, true, true, 1_000, false),
-                new Router.Rules(0, 500, 1, 1e6, 1_000, 0, 0));
+                List.of(new RoutingSettings.EngineKind(EngineRole.BOTH, 1e6)),
+                new RoutingSettings.Limits(4, true, true, true, 1_000, false),
+                new RoutingSettings.Rules(0, 500, 1, 1e6, 1_000, 0, 0));
     }
 }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -6,10 +6,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import maplerail.Router;
 import maplerail.core.Caller.Why;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
 
 /**
  * Drives one decision module on one event loop. A request passes the stages take in, admit, route, send,
@@ -34,8 +37,8 @@
 
     /** Makes a broker round a module that has just come up with these settings; its answers count under these names. */
     public Broker(
-            Router router,
-            Router.Settings settings,
+            RoutingPolicy router,
+            RoutingSettings settings,
             Admit admit,
             Loop loop,
             Engines engines,
@@ -47,7 +50,7 @@
         this.loop = loop;
         this.log = log;
         inherited = new Inherited(loop, metrics);
-        fleet = new Fleet(settings.kinds());
+        fleet = new Fleet(settings.engineKinds());
         this.admit = admit;
         book = new Book(engines, loop, admit, fleet, metrics);
         takeIn = new TakeIn(loop, book);
@@ -74,7 +77,7 @@
         }
         entry.admitted = true;
         entry.guard = loop.at(entry.deadlineMs + GUARD_MS, () -> overdue(entry));
-        route.tell(new Router.Arrival(
+        route.tell(new RoutingEvent.RequestArrived(
                 entry.number,
                 ask.kind(),
                 ask.tenant(),
@@ -93,9 +96,9 @@
      * Other settings, whole, for what is taken from now on; requests that are open keep the ones that they began under.
      * The kinds of engines stay: the list has been read by them.
      */
-    public void retune(Router.Settings settings, List<String> classes) {
+    public void retune(RoutingSettings settings, List<String> classes) {
         terms = Terms.of(settings, classes, metrics);
-        route.tell(new Router.Retuned(settings));
+        route.tell(new RoutingEvent.SettingsChanged(settings));
     }
 
     /** What is taken from now on has its answer begun by then, however long its client would wait: the program ends. */
@@ -104,17 +107,17 @@
     }
 
     /** What the module knows that one which serves here next could use. */
-    public List<Router.Held> learned() {
+    public List<RoutingEvent.PrefixCached> learned() {
         return route.learned();
     }
 
     /** What one that served here before knew. */
-    public void learn(List<Router.Held> known) {
+    public void learn(List<RoutingEvent.PrefixCached> known) {
         known.forEach(route::tell);
     }
 
     /** News of the engines; what has not gone out yet obeys it too. */
-    public void members(Router.Members news) {
+    public void members(RoutingEvent.EndpointUpdate news) {
         fleet.hear(news);
         route.tell(news);
         send.withdrawUnsent();
@@ -186,7 +189,7 @@
     }
 
     /** What other gateways saw of readers, for the module. */
-    public void seen(List<Router.Seen> facts) {
+    public void seen(List<RoutingEvent.PeerRead> facts) {
         facts.forEach(route::tell);
     }
 
@@ -220,15 +223,15 @@
         return book.lettingGo();
     }
 
-    private void perform(Router.Action action) {
-        if (action instanceof Router.Send order) send.attempt(order);
-        else if (action instanceof Router.Cancel order) send.cancel(order);
-        else if (action instanceof Router.Release order) release(order.id());
-        else if (action instanceof Router.Refuse refuse) refuse(refuse);
-        else if (action instanceof Router.Fail fail) fail(fail.id(), Why.ENGINE);
-        else if (action instanceof Router.SetTimer timer) {
-            loop.at(timer.atMs(), () -> route.tell(new Router.Timer(timer.token())));
-        } else if (action instanceof Router.Log line) log.accept(line.text());
+    private void perform(RoutingAction action) {
+        if (action instanceof RoutingAction.StartAttempt order) send.attempt(order);
+        else if (action instanceof RoutingAction.CancelAttempt order) send.cancel(order);
+        else if (action instanceof RoutingAction.ReleaseState order) release(order.requestId());
+        else if (action instanceof RoutingAction.RejectRequest refuse) refuse(refuse);
+        else if (action instanceof RoutingAction.FailRequest fail) fail(fail.requestId(), Why.ENGINE);
+        else if (action instanceof RoutingAction.SetTimer timer) {
+            loop.at(timer.atMs(), () -> route.tell(new RoutingEvent.TimerFired(timer.token())));
+        } else if (action instanceof RoutingAction.LogMessage line) log.accept(line.text());
         // Subscribe and FetchList need nothing: the list is always watched.
     }
 
@@ -237,8 +240,8 @@
         if (entry != null) book.release(entry);
     }
 
-    private void refuse(Router.Refuse order) {
-        Entry entry = book.find(order.id());
+    private void refuse(RoutingAction.RejectRequest order) {
+        Entry entry = book.find(order.requestId());
         if (entry == null || !book.answer(entry, Verdict.DEFERRED)) return;
         book.settle(entry);
         entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
--- a/src/main/java/maplerail/core/DecisionLog.java
+++ b/src/main/java/maplerail/core/DecisionLog.java
@@ -3,101 +3,159 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
-import maplerail.Router;
+import maplerail.routing.Endpoint;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
 
 /**
- * Writes down what a module hears and orders, a line each, so that what many gateways do together can be counted
- * from their logs. It changes nothing; it is wired in only where its logger is on.
+ * Logs what a policy is told and what it decides, a line each, so that what many gateways do together can be counted from
+ * their logs. It changes nothing, and is created only where its logger is on.
  */
-public final class DecisionLog implements Router {
-    private final Router router;
-    private final Consumer<String> line;
-
-    /** Makes a log round a module. */
-    public DecisionLog(Router router, Consumer<String> line) {
-        this.router = router;
-        this.line = line;
+public final class DecisionLog implements RoutingPolicy {
+    private static final int NANOS_PER_MICRO = 1_000;
+
+    private final RoutingPolicy policy;
+    private final Consumer<String> log;
+
+    /** Creates a log of a policy's decisions. */
+    public DecisionLog(RoutingPolicy policy, Consumer<String> log) {
+        this.policy = policy;
+        this.log = log;
     }
 
     @Override
-    public List<Action> step(double nowMs, List<? extends Event> events) {
-        for (Event event : events) heard(nowMs, event);
-        long from = System.nanoTime();
-        List<Action> actions = router.step(nowMs, events);
-        long tookUs = (System.nanoTime() - from) / 1_000;
-        for (Action action : actions) ordered(nowMs, action, tookUs);
+    public List<RoutingAction> step(double nowMs, List<? extends RoutingEvent> events) {
+        EventLines eventLines = new EventLines(nowMs);
+        events.forEach(event -> event.accept(eventLines));
+        long startedNanos = System.nanoTime();
+        List<RoutingAction> actions = policy.step(nowMs, events);
+        long tookMicros = (System.nanoTime() - startedNanos) / NANOS_PER_MICRO;
+        ActionLines actionLines = new ActionLines(nowMs, tookMicros);
+        actions.forEach(action -> action.accept(actionLines));
         return actions;
     }
 
     @Override
-    public int avoided() {
-        return router.avoided();
+    public int ejectedEngines() {
+        return policy.ejectedEngines();
     }
 
     @Override
-    public List<Held> learned() {
-        return router.learned();
+    public List<RoutingEvent.PrefixCached> cachedPrefixes() {
+        return policy.cachedPrefixes();
+    }
+
+    private void line(double nowMs, String format, Object... values) {
+        log.accept(String.format(Locale.ROOT, "%.0f ", nowMs) + String.format(Locale.ROOT, format, values));
     }
 
-    private void heard(double now, Event event) {
-        if (event instanceof Arrival a) {
-            write(
-                    now,
-                    "arrival id=%d kind=%d tenant=%d session=%x prompt=%.0f prefix=%x shared=%.0f budget=%.0f again=%b",
-                    a.id(),
-                    a.kind(),
-                    a.tenant(),
-                    a.session(),
-                    a.promptTokens(),
-                    a.prefix(),
-                    a.prefixTokens(),
-                    a.budgetMs(),
-                    a.resumed());
-        } else if (event instanceof FirstToken f) {
-            write(now, "first id=%d try=%d engine=%x after=%.0f", f.id(), f.attempt(), f.engine(), f.spentMs());
-        } else if (event instanceof Ended e) {
-            write(
-                    now,
-                    "ended id=%d try=%d engine=%x outcome=%s after=%.0f kept=%.0f",
-                    e.id(),
+    private final class EventLines implements RoutingEvent.Handler {
+        private final double nowMs;
+
+        EventLines(double nowMs) {
+            this.nowMs = nowMs;
+        }
+
+        @Override
+        public void onRequestArrived(RoutingEvent.RequestArrived e) {
+            line(
+                    nowMs,
+                    "arrived request=%d class=%d tenant=%d session=%x prompt_tokens=%.0f prefix=%x prefix_tokens=%.0f"
+                            + " budget_ms=%.0f resumed=%b",
+                    e.requestId(),
+                    e.requestClass(),
+                    e.tenant(),
+                    e.session(),
+                    e.promptTokens(),
+                    e.prefix(),
+                    e.prefixTokens(),
+                    e.budgetMs(),
+                    e.resumed());
+        }
+
+        @Override
+        public void onFirstToken(RoutingEvent.FirstToken e) {
+            line(
+                    nowMs,
+                    "first_token request=%d attempt=%d engine=%x elapsed_ms=%.0f",
+                    e.requestId(),
+                    e.attempt(),
+                    e.engine(),
+                    e.elapsedMs());
+        }
+
+        @Override
+        public void onAttemptEnded(RoutingEvent.AttemptEnded e) {
+            line(
+                    nowMs,
+                    "attempt_ended request=%d attempt=%d engine=%x outcome=%s elapsed_ms=%.0f cached_tokens=%.0f",
+                    e.requestId(),
                     e.attempt(),
                     e.engine(),
                     e.outcome(),
-                    e.spentMs(),
-                    e.kept());
-        } else if (event instanceof Abandoned gone) {
-            write(now, "gone id=%d", gone.id());
-        } else if (event instanceof Members news) {
-            write(
-                    now,
-                    "list kind=%s version=%d entries=%d",
-                    news.kind(),
-                    news.version(),
-                    news.members().size());
-            for (Member m : news.members()) {
-                write(
-                        now,
-                        "member engine=%x state=%s kind=%d zone=%d cell=%d started=%.0f scale=%.2f",
-                        m.engine(),
-                        m.state(),
-                        m.kind(),
-                        m.zone(),
-                        m.cell(),
-                        m.startedMs(),
-                        m.scale());
-            }
+                    e.elapsedMs(),
+                    e.cachedTokens());
+        }
+
+        @Override
+        public void onRequestAbandoned(RoutingEvent.RequestAbandoned e) {
+            line(nowMs, "abandoned request=%d", e.requestId());
         }
-    }
 
-    private void ordered(double now, Action action, long tookUs) {
-        if (action instanceof Send s) write(now, "send id=%d engine=%x us=%d", s.id(), s.engine(), tookUs);
-        else if (action instanceof Refuse r) write(now, "refuse id=%d later=%.0f", r.id(), r.retryAfterMs());
-        else if (action instanceof Fail f) write(now, "fail id=%d", f.id());
-        else if (action instanceof Cancel c) write(now, "cancel id=%d try=%d", c.id(), c.attempt());
-        else if (action instanceof Release r) write(now, "release id=%d", r.id());
+        @Override
+        public void onEndpointUpdate(RoutingEvent.EndpointUpdate e) {
+            int count = e.endpoints().size();
+            line(nowMs, "endpoints kind=%s version=%d count=%d", e.kind(), e.version(), count);
+            e.endpoints().forEach(this::endpoint);
+        }
+
+        private void endpoint(Endpoint e) {
+            line(
+                    nowMs,
+                    "endpoint engine=%x state=%s kind=%d zone=%d cell=%d started_ms=%.0f capacity_scale=%.2f",
+                    e.engine(),
+                    e.state(),
+                    e.kind(),
+                    e.zone(),
+                    e.cell(),
+                    e.startedMs(),
+                    e.capacityScale());
+        }
     }
 
-    private void write(double now, String form, Object... values) {
-        line.accept(String.format(Locale.ROOT, "%.0f ", now) + String.format(Locale.ROOT, form, values));
+    private final class ActionLines implements RoutingAction.Handler {
+        private final double nowMs;
+        private final long tookMicros;
+
+        ActionLines(double nowMs, long tookMicros) {
+            this.nowMs = nowMs;
+            this.tookMicros = tookMicros;
+        }
+
+        @Override
+        public void onStartAttempt(RoutingAction.StartAttempt a) {
+            line(nowMs, "start_attempt request=%d engine=%x took_us=%d", a.requestId(), a.engine(), tookMicros);
+        }
+
+        @Override
+        public void onCancelAttempt(RoutingAction.CancelAttempt a) {
+            line(nowMs, "cancel_attempt request=%d attempt=%d", a.requestId(), a.attempt());
+        }
+
+        @Override
+        public void onReleaseState(RoutingAction.ReleaseState a) {
+            line(nowMs, "release_state request=%d", a.requestId());
+        }
+
+        @Override
+        public void onRejectRequest(RoutingAction.RejectRequest a) {
+            line(nowMs, "reject request=%d retry_after_ms=%.0f", a.requestId(), a.retryAfterMs());
+        }
+
+        @Override
+        public void onFailRequest(RoutingAction.FailRequest a) {
+            line(nowMs, "fail request=%d", a.requestId());
+        }
     }
 }
--- a/src/main/java/maplerail/core/Engines.java
+++ b/src/main/java/maplerail/core/Engines.java
@@ -2,7 +2,7 @@
 
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import maplerail.Router;
+import maplerail.routing.AttemptOutcome;
 
 /** The port through which attempts go out. It must never make an attempt twice on its own. */
 public interface Engines {
@@ -61,6 +61,6 @@
         void unfit();
 
         /** The end; {@code kept} is the part of the prompt that needed no reading. */
-        void ended(Router.Outcome outcome, double kept);
+        void ended(AttemptOutcome outcome, double kept);
     }
 }
--- a/src/main/java/maplerail/core/Fleet.java
+++ b/src/main/java/maplerail/core/Fleet.java
@@ -6,31 +6,36 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import maplerail.Router;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.EngineRole;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingSettings;
 
 /** Which engines the list has named, what they do, and which of them want new work. */
 final class Fleet {
-    private final List<Router.Kind> kinds;
-    private final Map<Long, Router.Role> roles = new HashMap<>();
+    private final List<RoutingSettings.EngineKind> kinds;
+    private final Map<Long, EngineRole> roles = new HashMap<>();
     private final Set<Long> ready = new HashSet<>();
 
-    Fleet(List<Router.Kind> kinds) {
+    Fleet(List<RoutingSettings.EngineKind> kinds) {
         this.kinds = kinds;
     }
 
-    void hear(Router.Members news) {
-        if (news.kind() == Router.ListKind.FAILED) return;
-        if (news.kind() != Router.ListKind.CHANGES) {
+    void hear(RoutingEvent.EndpointUpdate news) {
+        if (news.kind() == EndpointUpdateKind.FAILED) return;
+        if (news.kind() != EndpointUpdateKind.DELTA) {
             ready.clear();
             roles.clear();
         }
-        for (Router.Member member : news.members()) {
+        for (Endpoint member : news.endpoints()) {
             if (member.kind() < kinds.size())
                 roles.put(member.engine(), kinds.get(member.kind()).role());
-            if (member.state() == Router.State.READY) ready.add(member.engine());
+            if (member.state() == EndpointState.READY) ready.add(member.engine());
             else ready.remove(member.engine());
             // Guards against a table that grows with every engine that ever was.
-            if (member.state() == Router.State.GONE) roles.remove(member.engine());
+            if (member.state() == EndpointState.REMOVED) roles.remove(member.engine());
         }
     }
 
@@ -50,12 +55,12 @@
     Set<Long> readers() {
         Set<Long> readers = new HashSet<>();
         roles.forEach((engine, role) -> {
-            if (role == Router.Role.READ) readers.add(engine);
+            if (role == EngineRole.READER) readers.add(engine);
         });
         return readers;
     }
 
     boolean reader(long engine) {
-        return roles.get(engine) == Router.Role.READ;
+        return roles.get(engine) == EngineRole.READER;
     }
 }
--- a/src/main/java/maplerail/core/Inherited.java
+++ b/src/main/java/maplerail/core/Inherited.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
-import maplerail.Router.Outcome;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
+import maplerail.routing.AttemptOutcome;
 
 /**
  * Streams that another process began and this one goes on with. They are no matter of the decision module: their one
@@ -117,12 +117,12 @@
 
         @Override
         public void unfit() {
-            ended(Outcome.RESET, 0);
+            ended(AttemptOutcome.RESET, 0);
         }
 
         @Override
-        public void ended(Outcome outcome, double kept) {
-            boolean whole = outcome == Outcome.SERVED;
+        public void ended(AttemptOutcome outcome, double kept) {
+            boolean whole = outcome == AttemptOutcome.COMPLETED;
             if (!close(whole ? Verdict.ANSWERED : Verdict.ERRORED)) return;
             if (whole) caller.end();
             else caller.broken();
--- a/src/main/java/maplerail/core/Relay.java
+++ b/src/main/java/maplerail/core/Relay.java
@@ -1,7 +1,7 @@
 package maplerail.core;
 
-import maplerail.Router.Outcome;
 import maplerail.metrics.Metrics.Verdict;
+import maplerail.routing.AttemptOutcome;
 
 /** Fifth stage: passes the events of the one attempt that became the caller's, as they come. */
 final class Relay {
@@ -28,9 +28,9 @@
     }
 
     /** Only a stream that came to its end is whole; any other must not look so. */
-    void ended(Entry.Try attempt, Outcome outcome) {
+    void ended(Entry.Try attempt, AttemptOutcome outcome) {
         Entry entry = attempt.entry;
-        boolean whole = outcome == Outcome.SERVED;
+        boolean whole = outcome == AttemptOutcome.COMPLETED;
         if (!book.answer(entry, whole ? Verdict.ANSWERED : Verdict.ERRORED)) return;
         if (whole) entry.caller.end();
         else entry.caller.broken();
--- a/src/main/java/maplerail/core/Route.java
+++ b/src/main/java/maplerail/core/Route.java
@@ -3,19 +3,21 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.function.Consumer;
-import maplerail.Router;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
 
 /** Third stage: tells the module each event in order and hands on each action, one after the other; then all is settled. */
 final class Route {
-    private final Router router;
+    private final RoutingPolicy router;
     private final Loop loop;
-    private final Consumer<Router.Action> perform;
-    private final ArrayDeque<Router.Event> waiting = new ArrayDeque<>();
+    private final Consumer<RoutingAction> perform;
+    private final ArrayDeque<RoutingEvent> waiting = new ArrayDeque<>();
     private final Runnable settled;
     private final Consumer<String> log;
     private boolean stepping;
 
-    Route(Router router, Loop loop, Consumer<Router.Action> perform, Runnable settled, Consumer<String> log) {
+    Route(RoutingPolicy router, Loop loop, Consumer<RoutingAction> perform, Runnable settled, Consumer<String> log) {
         this.router = router;
         this.loop = loop;
         this.perform = perform;
@@ -24,7 +26,7 @@
     }
 
     /** Guards against a fault of the module: it costs this event; the deadline's guard answers its request. */
-    private List<Router.Action> decide(Router.Event event) {
+    private List<RoutingAction> decide(RoutingEvent event) {
         try {
             return router.step(loop.nowMs(), List.of(event));
         } catch (RuntimeException e) {
@@ -34,20 +36,20 @@
     }
 
     int avoided() {
-        return router.avoided();
+        return router.ejectedEngines();
     }
 
-    List<Router.Held> learned() {
-        return router.learned();
+    List<RoutingEvent.PrefixCached> learned() {
+        return router.cachedPrefixes();
     }
 
     /** An event that an action brings about waits until the actions before it are done. */
-    void tell(Router.Event event) {
+    void tell(RoutingEvent event) {
         waiting.add(event);
         if (stepping) return;
         stepping = true;
         try {
-            for (Router.Event next = waiting.poll(); next != null; next = waiting.poll()) {
+            for (RoutingEvent next = waiting.poll(); next != null; next = waiting.poll()) {
                 decide(next).forEach(perform);
             }
             settled.run();
--- a/src/main/java/maplerail/core/Send.java
+++ b/src/main/java/maplerail/core/Send.java
@@ -3,14 +3,16 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import maplerail.Router;
-import maplerail.Router.Outcome;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
 
 /** Fourth stage: makes the attempts that the module asks for, ends them, and tells how each one ended. */
 final class Send {
-    private static final Router.Load UNTOLD = new Router.Load(Double.NaN);
+    private static final LoadReport UNTOLD = new LoadReport(Double.NaN);
     /** Past the settings' time a state may be held for 300 ms more on sockets; this leaves the rest for its release. */
     private static final double HELD_SLACK_MS = 180;
 
@@ -38,25 +40,25 @@
         route = to;
     }
 
-    void attempt(Router.Send order) {
+    void attempt(RoutingAction.StartAttempt order) {
         // Guards against a loop that is behind: what has been told by now counts, though its turn is yet to come.
         freshen.run();
-        Entry entry = book.find(order.id());
+        Entry entry = book.find(order.requestId());
         if (entry == null) return;
         notice(entry);
         Entry.Try attempt = new Entry.Try(entry, order.engine(), fleet.reader(order.engine()), loop.nowMs());
         entry.tries.add(attempt);
-        double until = order.untilMs() > 0 ? Math.min(order.untilMs(), entry.deadlineMs) : entry.deadlineMs;
+        double until = order.deadlineMs() > 0 ? Math.min(order.deadlineMs(), entry.deadlineMs) : entry.deadlineMs;
         // Guards against a send for what is over, or to an engine that the list has told to leave alone.
         if (entry.answered
                 || until <= loop.nowMs()
                 || attempt.number >= entry.terms.maxAttempts()
                 || !fleet.ready(order.engine())) {
-            ended(attempt, Outcome.NOT_SENT, 0);
+            ended(attempt, AttemptOutcome.NOT_SENT, 0);
             return;
         }
         if (entry.lapsed && !attempt.reader) {
-            ended(attempt, Outcome.STATE_GONE, 0);
+            ended(attempt, AttemptOutcome.STATE_LOST, 0);
             return;
         }
         attempt.timeout = loop.at(until, () -> expire(attempt));
@@ -66,7 +68,7 @@
                 notice(entry);
                 // Guards against a repeat that the module decided in its window, and that waited past it for a
                 // connection.
-                if (entry.windowOver(attempt, loop.nowMs())) cut(attempt, Outcome.CANCELLED);
+                if (entry.windowOver(attempt, loop.nowMs())) cut(attempt, AttemptOutcome.CANCELLED);
                 return !attempt.ended;
             }
 
@@ -86,7 +88,7 @@
             }
 
             @Override
-            public void ended(Outcome outcome, double kept) {
+            public void ended(AttemptOutcome outcome, double kept) {
                 if (witness != null && !attempt.ended) witness.ended(attempt.engine, outcome);
                 Send.this.ended(attempt, outcome, kept);
             }
@@ -104,11 +106,11 @@
             // What is held goes by itself now; what a reader that was not told to stop leaves later does not.
             entry.mayHold.keySet().retainAll(entry.broken);
             entry.holds.clear();
-            route.tell(
-                    new Router.FirstToken(entry.number, attempt.number, attempt.engine, loop.nowMs() - attempt.sentMs));
+            route.tell(new RoutingEvent.FirstToken(
+                    entry.number, attempt.number, attempt.engine, loop.nowMs() - attempt.sentMs));
         }
         if (entry.winner == attempt) relay.event(attempt, event);
-        else cut(attempt, Outcome.CANCELLED);
+        else cut(attempt, AttemptOutcome.CANCELLED);
     }
 
     /**
@@ -120,7 +122,7 @@
             poll(attempt);
             double quietMs = attempt.paused ? 0 : loop.nowMs() - attempt.heardMs;
             double stallMs = attempt.entry.ask.cargo().stallMs();
-            if (quietMs >= stallMs) cut(attempt, Outcome.RESET);
+            if (quietMs >= stallMs) cut(attempt, AttemptOutcome.RESET);
             else if (!attempt.ended) watch(attempt, stallMs - quietMs);
         });
     }
@@ -140,7 +142,7 @@
 
     private void expire(Entry.Try attempt) {
         poll(attempt);
-        if (attempt.entry.winner != attempt) cut(attempt, Outcome.TIMEOUT);
+        if (attempt.entry.winner != attempt) cut(attempt, AttemptOutcome.TIMEOUT);
     }
 
     /**
@@ -150,19 +152,19 @@
     private void reject(Entry.Try attempt) {
         Entry entry = attempt.entry;
         boolean last = book.answer(entry, Verdict.ERRORED);
-        ended(attempt, Outcome.CANCELLED, 0);
+        ended(attempt, AttemptOutcome.CANCELLED, 0);
         if (!last) return;
         cutAll(entry);
-        route.tell(new Router.Abandoned(entry.number));
+        route.tell(new RoutingEvent.RequestAbandoned(entry.number));
         entry.caller.fail(Caller.Why.INVALID);
     }
 
     /** Calls an attempt off, unless its stream is the caller's already. */
-    void cancel(Router.Cancel order) {
-        Entry entry = book.find(order.id());
+    void cancel(RoutingAction.CancelAttempt order) {
+        Entry entry = book.find(order.requestId());
         if (entry == null || order.attempt() >= entry.tries.size()) return;
         Entry.Try attempt = entry.tries.get(order.attempt());
-        if (entry.winner != attempt) cut(attempt, Outcome.CANCELLED);
+        if (entry.winner != attempt) cut(attempt, AttemptOutcome.CANCELLED);
     }
 
     /** Guards against an attempt for a caller that has left, while that waits for its turn on the loop. */
@@ -178,13 +180,13 @@
     /** It has its final answer, or needs none: what is still out for it ends. */
     void leave(Entry entry) {
         cutAll(entry);
-        route.tell(new Router.Abandoned(entry.number));
+        route.tell(new RoutingEvent.RequestAbandoned(entry.number));
         book.settle(entry);
     }
 
     /** The caller has left: nobody reads a stream either. */
     private void cutAll(Entry entry) {
-        for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, Outcome.CANCELLED);
+        for (Entry.Try attempt : List.copyOf(entry.tries)) cut(attempt, AttemptOutcome.CANCELLED);
     }
 
     /** What has not left this machine must not follow the news that its engine wants nothing more. */
@@ -193,7 +195,7 @@
             // Guards against the module's answer to a cut, which may be another attempt of the same request at once.
             for (Entry.Try attempt : List.copyOf(entry.tries)) {
                 boolean unsent = !attempt.ended && attempt.sending != null && attempt.sending.unsent();
-                if (unsent && !fleet.ready(attempt.engine)) cut(attempt, Outcome.UNREACHABLE);
+                if (unsent && !fleet.ready(attempt.engine)) cut(attempt, AttemptOutcome.UNREACHABLE);
             }
         }
     }
@@ -217,42 +219,44 @@
         for (Entry.Try attempt : List.copyOf(entry.tries)) {
             if (attempt.ended) continue;
             attempt.sending.abort();
-            ended(attempt, Outcome.STATE_GONE, 0);
+            ended(attempt, AttemptOutcome.STATE_LOST, 0);
         }
     }
 
-    private void cut(Entry.Try attempt, Outcome outcome) {
+    private void cut(Entry.Try attempt, AttemptOutcome outcome) {
         if (attempt.ended) return;
-        Outcome proven = attempt.sending.unsent() && outcome == Outcome.CANCELLED ? Outcome.NOT_SENT : outcome;
+        AttemptOutcome proven =
+                attempt.sending.unsent() && outcome == AttemptOutcome.CANCELLED ? AttemptOutcome.NOT_SENT : outcome;
         attempt.sending.abort();
         attempt.entry.lastCutMs = loop.nowMs();
         ended(attempt, proven, 0);
     }
 
-    private void ended(Entry.Try attempt, Outcome outcome, double kept) {
+    private void ended(Entry.Try attempt, AttemptOutcome outcome, double kept) {
         if (attempt.ended) return;
-        boolean wasOut = outcome != Outcome.UNREACHABLE && outcome != Outcome.NOT_SENT;
+        boolean wasOut = outcome != AttemptOutcome.UNREACHABLE && outcome != AttemptOutcome.NOT_SENT;
         attempt.ended = true;
         touched.add(attempt.entry);
         if (attempt.timeout != null) attempt.timeout.cancel();
         Entry entry = attempt.entry;
-        attempt.mayHaveRun = !attempt.reader && !outcome.neverRan;
-        boolean read = outcome == Outcome.READ;
+        attempt.mayHaveRun = !attempt.reader && !outcome.provesNoEffect();
+        boolean read = outcome == AttemptOutcome.PROMPT_READ;
         if (read) {
             entry.holds.add(attempt.engine);
             entry.lapsed = false;
         }
         if (read || wasOut && !entry.holds.isEmpty()) hold(entry);
         // A read that was cut off may have ended well just then.
-        if (read || attempt.reader && !outcome.neverRan) entry.mayHold.put(attempt.engine, loop.nowMs());
-        if (attempt.reader && (outcome == Outcome.RESET || outcome == Outcome.ERROR)) entry.broken.add(attempt.engine);
+        if (read || attempt.reader && !outcome.provesNoEffect()) entry.mayHold.put(attempt.engine, loop.nowMs());
+        if (attempt.reader && (outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.ERROR))
+            entry.broken.add(attempt.engine);
         // An answer may be whole without an event; it is the caller's all the same.
-        if (outcome == Outcome.SERVED && entry.winner == null && !entry.answered) entry.winner = attempt;
+        if (outcome == AttemptOutcome.COMPLETED && entry.winner == null && !entry.answered) entry.winner = attempt;
         if (entry.winner == attempt) relay.ended(attempt, outcome);
         if (read && witness != null) {
             witness.read(attempt.engine, loop.nowMs() - attempt.sentMs, Math.max(0, entry.ask.promptTokens() - kept));
         }
-        route.tell(new Router.Ended(
+        route.tell(new RoutingEvent.AttemptEnded(
                 entry.number,
                 attempt.number,
                 attempt.engine,
--- a/src/main/java/maplerail/core/Terms.java
+++ b/src/main/java/maplerail/core/Terms.java
@@ -1,8 +1,9 @@
 package maplerail.core;
 
 import java.util.List;
-import maplerail.Router;
 import maplerail.metrics.Metrics;
+import maplerail.routing.Idempotency;
+import maplerail.routing.RoutingSettings;
 
 /**
  * What a request is taken under, from the settings that were in force when it came. It keeps them to its end, whatever
@@ -10,14 +11,16 @@
  */
 record Terms(
         int maxAttempts, double pinLimitMs, List<String> classes, List<Metrics.Tally> tallies, List<Double> windowsMs) {
-    static Terms of(Router.Settings settings, List<String> classes, Metrics metrics) {
+    static Terms of(RoutingSettings settings, List<String> classes, Metrics metrics) {
         return new Terms(
                 settings.limits().maxAttempts(),
-                settings.rules().pinLimitMs(),
+                settings.rules().reservationLimitMs(),
                 List.copyOf(classes),
                 classes.stream().map(metrics::of).toList(),
                 settings.classes().stream()
-                        .map(c -> c.repeat() == Router.Repeat.KEYED ? c.keyTtlMs() : Double.POSITIVE_INFINITY)
+                        .map(c -> c.idempotency() == Idempotency.IDEMPOTENCY_KEY
+                                ? c.keyTtlMs()
+                                : Double.POSITIVE_INFINITY)
                         .toList());
     }
 
--- a/src/main/java/maplerail/core/Witness.java
+++ b/src/main/java/maplerail/core/Witness.java
@@ -1,6 +1,6 @@
 package maplerail.core;
 
-import maplerail.Router.Outcome;
+import maplerail.routing.AttemptOutcome;
 
 /** Hears how attempts ended at engines, for what gateways tell each other; called on the loop. */
 public interface Witness {
@@ -8,5 +8,5 @@
     void read(long engine, double spentMs, double tokens);
 
     /** An engine, or the connection to it, ended an attempt so; what was cut off from here (a timeout, a cancel) is not told. */
-    void ended(long engine, Outcome outcome);
+    void ended(long engine, AttemptOutcome outcome);
 }
--- a/src/main/java/maplerail/discovery/ConsulWatch.java
+++ b/src/main/java/maplerail/discovery/ConsulWatch.java
@@ -10,13 +10,14 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import maplerail.Router;
 import maplerail.config.Address;
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.Tree;
 import maplerail.net.Pool;
 import maplerail.net.XnioLoop;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
 
 /** Consul's catalogue says which services there are; its health API says which of their servers may be called. */
 public final class ConsulWatch {
@@ -74,7 +75,7 @@
 
     /** The servers in an answer of the health API; one with a critical check gets nothing new. */
     static EngineList read(Tree answer, long version) {
-        List<Router.Member> members = new ArrayList<>();
+        List<Endpoint> members = new ArrayList<>();
         Map<Long, InetSocketAddress> addresses = new HashMap<>();
         for (Tree entry : answer.list()) {
             Tree service = entry.at("Service");
@@ -89,7 +90,7 @@
                     .anyMatch(check -> !Set.of("passing", "warning")
                             .contains(check.at("Status").text("")));
             addresses.put(id, address);
-            members.add(new Router.Member(id, critical ? Router.State.DRAINING : Router.State.READY, 0, 0, 0, 1, 0));
+            members.add(new Endpoint(id, critical ? EndpointState.DRAINING : EndpointState.READY, 0, 0, 0, 1, 0));
         }
         return new EngineList(version, true, List.copyOf(members), Map.copyOf(addresses));
     }
--- a/src/main/java/maplerail/fleet/Exchange.java
+++ b/src/main/java/maplerail/fleet/Exchange.java
@@ -8,14 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import maplerail.Router;
+import maplerail.routing.RoutingEvent;
 
 /**
  * Shares what each gateway sees of readers with the others of its tier. Where a hundred gateways share twenty readers,
  * each meets a reader about once in ten seconds and learns alone that it has fallen behind (a flushed cache, a queue
  * that other gateways filled) only after the harm; the fleet as a whole reads several times a second at each. Each
  * gateway sums its own reads by reader and sends the sums to all once a period, as one datagram of at most 256 bytes
- * (PROTOCOL, "Between gateways"); what it hears becomes {@link Router.Seen} events for its module.
+ * (PROTOCOL, "Between gateways"); what it hears becomes {@link RoutingEvent.PeerRead} events for its module.
  *
  * <p>No I/O, no clock, no randomness of its own: times and draws are arguments. Every datagram heard is either used
  * whole or dropped and counted by reason: malformed ({@link Datagram.Malformed#reason}), {@code stranger} (not from an
@@ -100,7 +100,7 @@
      * A datagram heard from the gateway of rank {@code from} (-1 where its address is not of the tier): the events for
      * the module, or none where it is dropped.
      */
-    public List<Router.Seen> hear(int from, byte[] bytes, int length) {
+    public List<RoutingEvent.PeerRead> hear(int from, byte[] bytes, int length) {
         if (from < 0 || from >= tier) return drop("stranger");
         Datagram.Parsed parsed;
         try {
@@ -112,10 +112,10 @@
         if (from == rank) return drop("self");
         if (!last.advance(from, parsed.incarnation(), parsed.sequence())) return drop("stale");
         heard++;
-        List<Router.Seen> seen = new ArrayList<>();
+        List<RoutingEvent.PeerRead> seen = new ArrayList<>();
         for (Datagram.Fact fact : parsed.facts()) {
             Long engine = engines.get(fact.engine());
-            if (engine != null) seen.add(new Router.Seen(engine, fact.spentMs(), fact.tokens()));
+            if (engine != null) seen.add(new RoutingEvent.PeerRead(engine, fact.spentMs(), fact.tokens()));
         }
         return seen;
     }
@@ -125,7 +125,7 @@
         return last.incarnation(of);
     }
 
-    private List<Router.Seen> drop(String reason) {
+    private List<RoutingEvent.PeerRead> drop(String reason) {
         dropped.merge(reason, 1L, Long::sum);
         return List.of();
     }
--- a/src/main/java/maplerail/handover/Notes.java
+++ b/src/main/java/maplerail/handover/Notes.java
@@ -6,12 +6,12 @@
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
-import maplerail.Router.Held;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
+import maplerail.routing.RoutingEvent.PrefixCached;
 
 /** What a process that leaves knows, as a text for the one that serves on. Nothing in it is needed: it only saves work. */
-public record Notes(double writtenMs, List<Held> held) {
+public record Notes(double writtenMs, List<PrefixCached> held) {
     private static final int FORM = 1;
     private static final int MOST = 20_000; // entries
     private static final double MOST_AGE_MS = 5_000; // of a text that is still believed
@@ -27,7 +27,7 @@
             json.writeNumberField("form", FORM);
             json.writeNumberField("written_ms", writtenMs);
             json.writeArrayFieldStart("held");
-            for (Held one : held.subList(Math.max(0, held.size() - MOST), held.size())) {
+            for (PrefixCached one : held.subList(Math.max(0, held.size() - MOST), held.size())) {
                 json.writeStartArray();
                 json.writeNumber(one.session() ? 1 : 0);
                 json.writeString(Long.toHexString(one.key()));
@@ -54,13 +54,13 @@
             double writtenMs = root.need("written_ms").number();
             if (root.need("form").number() != FORM || writtenMs > nowMs + CLOCKS_MS || nowMs - writtenMs > MOST_AGE_MS)
                 return null;
-            List<Held> held = new ArrayList<>();
+            List<PrefixCached> held = new ArrayList<>();
             for (Tree one : root.need("held").list()) {
                 if (held.size() == MOST) return null;
                 double tokens = one.at(3).number();
                 double atMs = one.at(4).number();
                 if (!(tokens >= 0 && tokens <= MOST_TOKENS && atMs <= nowMs + CLOCKS_MS)) return null;
-                held.add(new Held(one.at(0).number() == 1, key(one.at(1)), key(one.at(2)), tokens, atMs));
+                held.add(new PrefixCached(one.at(0).number() == 1, key(one.at(1)), key(one.at(2)), tokens, atMs));
             }
             return new Notes(writtenMs, held);
         } catch (ConfigException | NumberFormatException e) {
--- a/src/main/java/maplerail/lab/Emulator.java
+++ b/src/main/java/maplerail/lab/Emulator.java
@@ -11,9 +11,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import maplerail.Logic;
-import maplerail.Router;
-import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineIds;
 import maplerail.config.SettingsReader;
@@ -22,9 +19,19 @@
 import maplerail.fleet.Outliers;
 import maplerail.fleet.View;
 import maplerail.lab.Ledger.End;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
+import maplerail.routing.d2lpm.D2lpmPolicy;
 
 /**
- * A discrete-event model of an experiment in virtual time: every gateway runs the real decision module ({@link Logic}), the
+ * A discrete-event model of an experiment in virtual time: every gateway runs the real decision module ({@link D2lpmPolicy}), the
  * real {@link Exchange} and {@link Membership}; engines, links, clients and discovery are models of what PROTOCOL says of
  * them. One thread; the same file gives the same result. It reaches sizes that sockets don't (1,000 gateways over 1,000
  * engines), and leaves out what sockets cost: a gateway's processor time, connections, descriptors.
@@ -150,7 +157,7 @@
                 return size() > MOST_KEPT;
             }
         };
-        Router.State told = Router.State.READY;
+        EndpointState told = EndpointState.READY;
         double slow = 1;
         boolean failing;
         int running;
@@ -160,8 +167,8 @@
             id = EngineIds.of(spec.name());
         }
 
-        Router.Member member() {
-            return new Router.Member(
+        Endpoint member() {
+            return new Endpoint(
                     id, told, 0, spec.zone(), spec.zone(), 1, spec.model().writes() ? 1 : 0);
         }
 
@@ -169,12 +176,12 @@
             LabEngine.Model model = spec.model();
             Try one = attempt.request;
             if (model.writes() && !one.held) {
-                back(attempt, Outcome.STATE_GONE, 0);
+                back(attempt, AttemptOutcome.STATE_LOST, 0);
             } else if (running >= model.slots() && waiting.size() >= model.queue()) {
-                back(attempt, Outcome.FULL, 0);
+                back(attempt, AttemptOutcome.OVERLOADED, 0);
             } else {
                 ledger.reached(one.id, model.writes(), one.again, spec.name(), spec.zone());
-                if (failing) back(attempt, Outcome.ERROR, 0);
+                if (failing) back(attempt, AttemptOutcome.ERROR, 0);
                 else if (running < model.slots()) begin(attempt);
                 else waiting.add(attempt);
             }
@@ -201,7 +208,7 @@
                 // A request that is over by then has nobody who would let go of it: the broker's releases do, soon
                 // after.
                 if (!one.over) one.held = true;
-                back(attempt, Outcome.READ, found);
+                back(attempt, AttemptOutcome.PROMPT_READ, found);
                 done();
             });
         }
@@ -218,7 +225,7 @@
                 }
                 come(attempt, () -> attempt.gate.first(attempt));
                 at(now + perToken * Math.max(0, one.tokens - EVENT_TOKENS), () -> {
-                    back(attempt, Outcome.SERVED, 0);
+                    back(attempt, AttemptOutcome.COMPLETED, 0);
                     done();
                 });
             });
@@ -232,7 +239,7 @@
             }
         }
 
-        private void back(Attempt attempt, Outcome outcome, double found) {
+        private void back(Attempt attempt, AttemptOutcome outcome, double found) {
             come(attempt, () -> attempt.gate.ended(attempt, outcome, found));
         }
 
@@ -307,8 +314,8 @@
     private final class Gate {
         final int rank;
         final int zone;
-        final Router.Settings settings;
-        final Router module;
+        final RoutingSettings settings;
+        final RoutingPolicy module;
         final Exchange exchange;
         final Membership membership;
         final Outliers outliers;
@@ -324,10 +331,12 @@
             zone = experiment.gateways().get(rank);
             settings = SettingsReader.read(random.nextLong(), Rig.settings(experiment, rank))
                     .settings();
-            module = new Logic(settings);
+            module = new D2lpmPolicy(settings);
             live = gates.length;
-            tell(view.hear(new Router.Members(
-                    Router.ListKind.WHOLE, 1, boxes.stream().map(Box::member).toList())));
+            tell(view.hear(new RoutingEvent.EndpointUpdate(
+                    EndpointUpdateKind.SNAPSHOT,
+                    1,
+                    boxes.stream().map(Box::member).toList())));
             boolean peers = gates.length > 1;
             membership = peers ? new Membership(rank, gates.length, now + 1, random.nextLong()) : null;
             exchange = peers && gates.length <= MOST_EXCHANGE ? new Exchange(rank, gates.length, now + 1) : null;
@@ -345,21 +354,22 @@
             at(now + exchange.delayMs(random.nextDouble()), this::say);
         }
 
-        void tell(Router.Event event) {
-            for (Router.Action action : module.step(now, List.of(event))) perform(action);
+        void tell(RoutingEvent event) {
+            for (RoutingAction action : module.step(now, List.of(event))) perform(action);
         }
 
-        private void perform(Router.Action action) {
-            if (action instanceof Router.Send send) send(send);
-            else if (action instanceof Router.Cancel cancel) cancel(cancel);
-            else if (action instanceof Router.Refuse refuse) end(refuse.id(), End.REFUSED, refuse.retryAfterMs());
-            else if (action instanceof Router.Fail fail) end(fail.id(), End.FAILED, 0);
-            else if (action instanceof Router.SetTimer timer) {
+        private void perform(RoutingAction action) {
+            if (action instanceof RoutingAction.StartAttempt send) send(send);
+            else if (action instanceof RoutingAction.CancelAttempt cancel) cancel(cancel);
+            else if (action instanceof RoutingAction.RejectRequest refuse)
+                end(refuse.requestId(), End.REFUSED, refuse.retryAfterMs());
+            else if (action instanceof RoutingAction.FailRequest fail) end(fail.requestId(), End.FAILED, 0);
+            else if (action instanceof RoutingAction.SetTimer timer) {
                 at(timer.atMs(), () -> {
-                    if (up) tell(new Router.Timer(timer.token()));
+                    if (up) tell(new RoutingEvent.TimerFired(timer.token()));
                 });
-            } else if (action instanceof Router.Release release) {
-                Try one = open.get(release.id());
+            } else if (action instanceof RoutingAction.ReleaseState release) {
+                Try one = open.get(release.requestId());
                 if (one != null) one.held = false;
             }
         }
@@ -369,7 +379,7 @@
             open.put(key, one);
             one.deadlineMs = now + Load.DEADLINE_MS[one.plan.kind()];
             double shared = one.plan.prefix() < 0 ? 0 : experiment.load().prefixTokens();
-            tell(new Router.Arrival(
+            tell(new RoutingEvent.RequestArrived(
                     key,
                     one.plan.kind(),
                     0,
@@ -391,19 +401,19 @@
             }
         }
 
-        private void send(Router.Send order) {
-            Try one = open.get(order.id());
+        private void send(RoutingAction.StartAttempt order) {
+            Try one = open.get(order.requestId());
             Box box = byId.get(order.engine());
             if (one == null) return;
-            Attempt attempt = new Attempt(this, one, order.id(), box, now);
+            Attempt attempt = new Attempt(this, one, order.requestId(), box, now);
             one.attempts.add(attempt);
-            if (one.attempts.size() > settings.limits().maxAttempts() || box.told != Router.State.READY) {
-                at(now, () -> ended(attempt, Outcome.NOT_SENT, 0));
+            if (one.attempts.size() > settings.limits().maxAttempts() || box.told != EndpointState.READY) {
+                at(now, () -> ended(attempt, AttemptOutcome.NOT_SENT, 0));
                 return;
             }
-            double until = order.untilMs() > 0 ? Math.min(order.untilMs(), one.deadlineMs) : one.deadlineMs;
+            double until = order.deadlineMs() > 0 ? Math.min(order.deadlineMs(), one.deadlineMs) : one.deadlineMs;
             at(until, () -> {
-                if (one.winner != attempt) ended(attempt, Outcome.TIMEOUT, 0);
+                if (one.winner != attempt) ended(attempt, AttemptOutcome.TIMEOUT, 0);
             });
             boolean kept = now - used.getOrDefault(box.id, -KEPT_MS) < KEPT_MS;
             used.put(box.id, now);
@@ -413,41 +423,41 @@
                 });
             } else {
                 count("silent");
-                if (!kept) at(now + CONNECT_MS, () -> ended(attempt, Outcome.UNREACHABLE, 0));
+                if (!kept) at(now + CONNECT_MS, () -> ended(attempt, AttemptOutcome.UNREACHABLE, 0));
             }
         }
 
-        private void cancel(Router.Cancel order) {
-            Try one = open.get(order.id());
+        private void cancel(RoutingAction.CancelAttempt order) {
+            Try one = open.get(order.requestId());
             if (one == null || order.attempt() >= one.attempts.size()) return;
             Attempt attempt = one.attempts.get(order.attempt());
-            if (one.winner != attempt) at(now, () -> ended(attempt, Outcome.CANCELLED, 0));
+            if (one.winner != attempt) at(now, () -> ended(attempt, AttemptOutcome.CANCELLED, 0));
         }
 
         void first(Attempt attempt) {
             Try one = attempt.request;
             if (one.winner != null || one.over) {
-                ended(attempt, Outcome.CANCELLED, 0);
+                ended(attempt, AttemptOutcome.CANCELLED, 0);
                 return;
             }
             one.winner = attempt;
             if (Double.isNaN(one.page.firstMs)) one.page.firstMs = now;
-            tell(new Router.FirstToken(attempt.key, attempt.number, attempt.box.id, now - attempt.sentMs));
+            tell(new RoutingEvent.FirstToken(attempt.key, attempt.number, attempt.box.id, now - attempt.sentMs));
         }
 
-        void ended(Attempt attempt, Outcome outcome, double found) {
+        void ended(Attempt attempt, AttemptOutcome outcome, double found) {
             if (attempt.ended || !up) return;
             attempt.ended = true;
             Try one = attempt.request;
             boolean last = one.winner == attempt;
-            boolean good = outcome == Outcome.READ || outcome == Outcome.SERVED;
-            if (outliers != null && (good || outcome == Outcome.ERROR || outcome == Outcome.RESET))
+            boolean good = outcome == AttemptOutcome.PROMPT_READ || outcome == AttemptOutcome.COMPLETED;
+            if (outliers != null && (good || outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.RESET))
                 outliers.outcome(attempt.box.id, good, now);
-            if (outcome == Outcome.READ && exchange != null) {
+            if (outcome == AttemptOutcome.PROMPT_READ && exchange != null) {
                 exchange.read(attempt.box.id, now - attempt.sentMs, Math.max(0, one.plan.prompt() - found));
             }
-            if (last) finish(one, outcome == Outcome.SERVED ? End.SERVED : End.BROKEN, 0);
-            tell(new Router.Ended(
+            if (last) finish(one, outcome == AttemptOutcome.COMPLETED ? End.SERVED : End.BROKEN, 0);
+            tell(new RoutingEvent.AttemptEnded(
                     attempt.key,
                     attempt.number,
                     attempt.box.id,
@@ -455,7 +465,7 @@
                     now - attempt.sentMs,
                     found,
                     one.over,
-                    new Router.Load(Double.NaN)));
+                    new LoadReport(Double.NaN)));
             if (one.over && one.attempts.stream().allMatch(a -> a.ended)) open.remove(attempt.key);
         }
 
@@ -464,8 +474,9 @@
             Try one = open.get(key);
             if (one == null || one.over) return;
             finish(one, how, laterMs);
-            if (how == End.GAVE_UP || how == End.TIMED_OUT) tell(new Router.Abandoned(key));
-            for (Attempt attempt : List.copyOf(one.attempts)) at(now, () -> ended(attempt, Outcome.CANCELLED, 0));
+            if (how == End.GAVE_UP || how == End.TIMED_OUT) tell(new RoutingEvent.RequestAbandoned(key));
+            for (Attempt attempt : List.copyOf(one.attempts))
+                at(now, () -> ended(attempt, AttemptOutcome.CANCELLED, 0));
             if (one.attempts.isEmpty()) open.remove(key);
         }
 
@@ -474,7 +485,7 @@
                 Attempt stream = one.winner;
                 if (stream == null || stream.ended || stream.box != box) continue;
                 at(now + STALL_MS, () -> {
-                    if (cut(this, box)) ended(stream, Outcome.RESET, 0);
+                    if (cut(this, box)) ended(stream, AttemptOutcome.RESET, 0);
                 });
             }
         }
@@ -508,7 +519,8 @@
                     });
                 }
             }
-            Router.Members news = view.hold(outliers.decide(now, g -> membership.state(g) == Membership.State.ALIVE));
+            RoutingEvent.EndpointUpdate news =
+                    view.hold(outliers.decide(now, g -> membership.state(g) == Membership.State.ALIVE));
             if (news != null) tell(news);
             at(now + Outliers.PERIOD_MS, this::compare);
         }
@@ -543,7 +555,7 @@
 
         void heard(Gate from, byte[] bytes) {
             if (!up) return;
-            for (Router.Seen seen : exchange.hear(from.rank, bytes, bytes.length)) tell(seen);
+            for (RoutingEvent.PeerRead seen : exchange.hear(from.rank, bytes, bytes.length)) tell(seen);
             membership.heard(from.rank, exchange.incarnation(from.rank), now);
         }
 
@@ -551,7 +563,7 @@
             int alive = membership.sharing();
             if (alive == live) return;
             live = alive;
-            tell(new Router.Retuned(settings.withRouters(live)));
+            tell(new RoutingEvent.SettingsChanged(settings.withGateways(live)));
         }
     }
 
@@ -613,11 +625,13 @@
             case "fail" -> chosen.forEach(b -> b.failing = on);
             case "flush" -> chosen.forEach(b -> b.kept.clear());
             case "drain" -> {
-                chosen.forEach(b -> b.told = on ? Router.State.DRAINING : Router.State.READY);
-                List<Router.Member> news = chosen.stream().map(Box::member).toList();
+                chosen.forEach(b -> b.told = on ? EndpointState.DRAINING : EndpointState.READY);
+                List<Endpoint> news = chosen.stream().map(Box::member).toList();
                 for (Gate gate : gates) {
                     at(now + TOLD_MS * random.nextDouble(), () -> {
-                        if (gate.up) gate.tell(gate.view.hear(new Router.Members(Router.ListKind.CHANGES, 2, news)));
+                        if (gate.up)
+                            gate.tell(
+                                    gate.view.hear(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, news)));
                     });
                 }
             }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -19,14 +19,15 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import maplerail.Router;
-import maplerail.Router.Outcome;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
 import maplerail.config.Tree;
 import maplerail.core.Ask;
 import maplerail.core.Engines;
 import maplerail.core.Loop;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.StreamConnection;
@@ -60,8 +61,8 @@
         if (list.whole()) leave(id -> list.members().stream().noneMatch(member -> member.engine() == id));
         addresses.putAll(list.addresses());
         left.keySet().removeAll(list.addresses().keySet());
-        for (Router.Member member : list.members()) {
-            if (member.state() == Router.State.GONE) leave(id -> id == member.engine());
+        for (Endpoint member : list.members()) {
+            if (member.state() == EndpointState.REMOVED) leave(id -> id == member.engine());
         }
     }
 
@@ -107,7 +108,7 @@
     /** Goes on with an engine's stream that another process began, from between two events. */
     public Sending adopt(InetSocketAddress to, StreamConnection connection, Answer answer) {
         Incoming incoming = new Incoming(answer);
-        incoming.meaning = Outcome.SERVED;
+        incoming.meaning = AttemptOutcome.COMPLETED;
         incoming.framed = true;
         return new Sent(pool.adopt(to, connection, incoming));
     }
@@ -117,7 +118,7 @@
         private final Answer answer;
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
-        private Outcome meaning;
+        private AttemptOutcome meaning;
         private boolean framed;
         private boolean unfit;
 
@@ -145,7 +146,7 @@
 
         @Override
         public void body(ByteBuffer piece) {
-            if (meaning == Outcome.SERVED) {
+            if (meaning == AttemptOutcome.COMPLETED) {
                 if (!events.feed(piece, answer::event)) framed = false;
             } else if (text.size() < MOST_READ) {
                 while (piece.hasRemaining()) text.write(piece.get());
@@ -158,17 +159,17 @@
                 answer.unfit();
                 return;
             }
-            if (meaning == Outcome.SERVED && framed && events.rest().length > 0) answer.event(events.rest());
-            answer.ended(meaning == Outcome.SERVED && !framed ? Outcome.RESET : meaning, kept());
+            if (meaning == AttemptOutcome.COMPLETED && framed && events.rest().length > 0) answer.event(events.rest());
+            answer.ended(meaning == AttemptOutcome.COMPLETED && !framed ? AttemptOutcome.RESET : meaning, kept());
         }
 
         @Override
         public boolean between() {
-            return meaning == Outcome.SERVED && framed && events.rest().length == 0;
+            return meaning == AttemptOutcome.COMPLETED && framed && events.rest().length == 0;
         }
 
         private double kept() {
-            if (meaning != Outcome.READ) return 0;
+            if (meaning != AttemptOutcome.PROMPT_READ) return 0;
             try {
                 return Tree.any("read", text.toString(StandardCharsets.UTF_8))
                         .at("cached_tokens")
--- a/src/main/java/maplerail/net/Outcomes.java
+++ b/src/main/java/maplerail/net/Outcomes.java
@@ -2,7 +2,7 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
-import maplerail.Router.Outcome;
+import maplerail.routing.AttemptOutcome;
 
 /** What an answer's status says of an attempt; only a mark proves that it never ran. */
 final class Outcomes {
@@ -10,14 +10,14 @@
 
     private Outcomes() {}
 
-    static Outcome of(int status, HeaderMap headers) {
+    static AttemptOutcome of(int status, HeaderMap headers) {
         boolean declined = "1".equals(headers.getFirst(DECLINED));
         return switch (status) {
-            case 200 -> Outcome.SERVED;
-            case 202 -> Outcome.READ;
-            case 410 -> declined ? Outcome.STATE_GONE : Outcome.ERROR;
-            case 429, 503, 504 -> declined ? Outcome.FULL : Outcome.ERROR;
-            default -> Outcome.ERROR;
+            case 200 -> AttemptOutcome.COMPLETED;
+            case 202 -> AttemptOutcome.PROMPT_READ;
+            case 410 -> declined ? AttemptOutcome.STATE_LOST : AttemptOutcome.ERROR;
+            case 429, 503, 504 -> declined ? AttemptOutcome.OVERLOADED : AttemptOutcome.ERROR;
+            default -> AttemptOutcome.ERROR;
         };
     }
 
@@ -27,8 +27,8 @@
     }
 
     /** What a call without a whole answer says; a head that proves that it never ran holds all the same. */
-    static Outcome broken(Outcome head, boolean neverSent) {
-        if (head != null && head != Outcome.READ && head.neverRan) return head;
-        return neverSent ? Outcome.UNREACHABLE : Outcome.RESET;
+    static AttemptOutcome broken(AttemptOutcome head, boolean neverSent) {
+        if (head != null && head != AttemptOutcome.PROMPT_READ && head.provesNoEffect()) return head;
+        return neverSent ? AttemptOutcome.UNREACHABLE : AttemptOutcome.RESET;
     }
 }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -14,10 +14,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import maplerail.Router.Outcome;
 import maplerail.config.Json;
 import maplerail.core.Ask;
 import maplerail.core.Engines;
+import maplerail.routing.AttemptOutcome;
 
 /** Attempts at tool servers: one HTTP POST each, whose reply counts when it is whole. */
 public final class ToolClient implements Engines {
@@ -63,7 +63,7 @@
         private final Answer answer;
         private final int most;
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
-        private Outcome meaning;
+        private AttemptOutcome meaning;
         private boolean framed;
         private boolean unfit;
         private boolean streams;
@@ -88,7 +88,7 @@
         @Override
         public void head(int status, HeaderMap headers) {
             // A tool server has no state to hand over: 202 is no answer that a call could end with.
-            meaning = status == 202 ? Outcome.ERROR : Outcomes.of(status, headers);
+            meaning = status == 202 ? AttemptOutcome.ERROR : Outcomes.of(status, headers);
             unfit = Outcomes.unfit(status);
             String type = headers.getFirst(Headers.CONTENT_TYPE);
             streams = type != null && type.startsWith("text/event-stream");
@@ -97,7 +97,7 @@
 
         @Override
         public void body(ByteBuffer piece) {
-            if (meaning != Outcome.SERVED) return;
+            if (meaning != AttemptOutcome.COMPLETED) return;
             if (streams) {
                 if (!events.feed(piece, whole -> EventSplitter.data(whole).forEach(this::message))) framed = false;
                 return;
@@ -122,13 +122,13 @@
             if (fields == null || fields.containsKey("method")) return;
             // Guards against a server that leaves its stream open behind the answer: the call would stay open with it.
             call.abort();
-            answer.ended(Outcome.SERVED, 0);
+            answer.ended(AttemptOutcome.COMPLETED, 0);
         }
 
         private void tooLarge() {
             call.abort();
             answer.event(TOO_LARGE.getBytes(StandardCharsets.UTF_8));
-            answer.ended(Outcome.SERVED, 0);
+            answer.ended(AttemptOutcome.COMPLETED, 0);
         }
 
         @Override
@@ -138,9 +138,9 @@
                 answer.unfit();
                 return;
             }
-            boolean whole = meaning == Outcome.SERVED && framed;
+            boolean whole = meaning == AttemptOutcome.COMPLETED && framed;
             if (whole && !streams) answer.event(text.toByteArray());
-            answer.ended(meaning == Outcome.SERVED && !whole ? Outcome.RESET : meaning, 0);
+            answer.ended(meaning == AttemptOutcome.COMPLETED && !whole ? AttemptOutcome.RESET : meaning, 0);
         }
 
         @Override
--- a/src/main/java/maplerail/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -8,9 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import maplerail.Router;
-import maplerail.Router.Action;
-import maplerail.Router.Event;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
 
 /** Frames of the simulator's wire: batches of event records in, replies of action records out. */
 final class Codec {
@@ -101,19 +105,19 @@
             return new String(body.array(), from, (int) u32(record, at + 4), StandardCharsets.UTF_8);
         }
 
-        private List<Router.Member> members(int record, int at) {
+        private List<Endpoint> members(int record, int at) {
             int from = tailAt(record, at, MEMBER);
             int count = (int) u32(record, at + 4);
-            List<Router.Member> out = new ArrayList<>(count);
+            List<Endpoint> out = new ArrayList<>(count);
             for (int i = 0; i < count; i++, from += MEMBER) {
                 int health = Byte.toUnsignedInt(body.get(from));
-                Router.State state = switch (health) {
-                    case 0 -> Router.State.GONE;
-                    case 1 -> Router.State.READY;
-                    case 2 -> Router.State.DRAINING;
+                EndpointState state = switch (health) {
+                    case 0 -> EndpointState.REMOVED;
+                    case 1 -> EndpointState.READY;
+                    case 2 -> EndpointState.DRAINING;
                     default -> throw new WireException("record " + record + ": entry " + i + ": health " + health);
                 };
-                out.add(new Router.Member(
+                out.add(new Endpoint(
                         engineAt(from + 9),
                         state,
                         body.getDouble(from + 1),
@@ -126,12 +130,12 @@
         }
 
         /** The event of a record, or null for one that the decisions have no use for. */
-        Event event(int record, int memoryColumn) {
+        RoutingEvent event(int record, int memoryColumn) {
             int code = code(record);
             return switch (code) {
-                case 1010 -> new Router.Members(listKind(record), u64(record, 3), members(record, 11));
+                case 1010 -> new RoutingEvent.EndpointUpdate(listKind(record), u64(record, 3), members(record, 11));
                 case 1020 ->
-                    new Router.Arrival(
+                    new RoutingEvent.RequestArrived(
                             u64(record, 2),
                             u8(record, 19),
                             (int) u32(record, 44),
@@ -143,9 +147,10 @@
                             f32(record, 48),
                             (u8(record, 10) & 1) != 0 ? f64(record, 52) : 0,
                             (u8(record, 10) & 16) != 0);
-                case 1030 -> new Router.FirstToken(u64(record, 2), u8(record, 10), engine(record, 19), f64(record, 11));
+                case 1030 ->
+                    new RoutingEvent.FirstToken(u64(record, 2), u8(record, 10), engine(record, 19), f64(record, 11));
                 case 1040 ->
-                    new Router.Ended(
+                    new RoutingEvent.AttemptEnded(
                             u64(record, 2),
                             u8(record, 23),
                             engine(record, 25),
@@ -154,44 +159,44 @@
                             u32(record, 10),
                             u8(record, 24) != 0,
                             load(record, 31, memoryColumn));
-                case 1050 -> new Router.Abandoned(u64(record, 2));
-                case 1060 -> new Router.Timer(u64(record, 2));
+                case 1050 -> new RoutingEvent.RequestAbandoned(u64(record, 2));
+                case 1060 -> new RoutingEvent.TimerFired(u64(record, 2));
                 // Probe answers, peers' mail and notes on places: nothing that this library asks for.
                 case 1070, 1080, 1100 -> null;
                 default -> throw new WireException("record " + record + ": unknown code " + code);
             };
         }
 
-        private Router.ListKind listKind(int record) {
+        private EndpointUpdateKind listKind(int record) {
             int scope = u8(record, 2);
             return switch (scope) {
-                case 0 -> Router.ListKind.WHOLE;
-                case 1 -> Router.ListKind.REMEMBERED;
-                case 2 -> Router.ListKind.CHANGES;
-                case 3 -> Router.ListKind.FAILED;
+                case 0 -> EndpointUpdateKind.SNAPSHOT;
+                case 1 -> EndpointUpdateKind.REMEMBERED;
+                case 2 -> EndpointUpdateKind.DELTA;
+                case 3 -> EndpointUpdateKind.FAILED;
                 default -> throw new WireException("record " + record + ": list scope " + scope);
             };
         }
 
-        private Router.Outcome outcome(int record) {
+        private AttemptOutcome outcome(int record) {
             int result = u8(record, 14);
             return switch (result) {
-                case 0 -> Router.Outcome.SERVED;
-                case 5 -> Router.Outcome.ERROR;
-                case 11 -> u32(record, 10) == 1 ? Router.Outcome.STATE_GONE : Router.Outcome.FULL;
-                case 110 -> Router.Outcome.TIMEOUT;
-                case 111 -> Router.Outcome.UNREACHABLE;
-                case 104 -> Router.Outcome.RESET;
-                case 125 -> Router.Outcome.CANCELLED;
-                case 114 -> Router.Outcome.NOT_SENT;
-                case 210 -> Router.Outcome.READ;
+                case 0 -> AttemptOutcome.COMPLETED;
+                case 5 -> AttemptOutcome.ERROR;
+                case 11 -> u32(record, 10) == 1 ? AttemptOutcome.STATE_LOST : AttemptOutcome.OVERLOADED;
+                case 110 -> AttemptOutcome.TIMEOUT;
+                case 111 -> AttemptOutcome.UNREACHABLE;
+                case 104 -> AttemptOutcome.RESET;
+                case 125 -> AttemptOutcome.CANCELLED;
+                case 114 -> AttemptOutcome.NOT_SENT;
+                case 210 -> AttemptOutcome.PROMPT_READ;
                 default -> throw new WireException("record " + record + ": unknown result " + result);
             };
         }
 
-        private Router.Load load(int record, int at, int memoryColumn) {
+        private LoadReport load(int record, int at, int memoryColumn) {
             boolean told = memoryColumn >= 0 && memoryColumn < u8(record, at);
-            return new Router.Load(told ? f32(record, at + 1 + 4 * memoryColumn) : Double.NaN);
+            return new LoadReport(told ? f32(record, at + 1 + 4 * memoryColumn) : Double.NaN);
         }
     }
 
@@ -262,28 +267,28 @@
             to.putInt((int) (engine >>> 16)).putShort((short) engine);
         }
 
-        void action(Action action) {
-            if (action instanceof Router.Log log) {
+        void action(RoutingAction action) {
+            if (action instanceof RoutingAction.LogMessage log) {
                 text(1110, log.text());
                 return;
             }
-            if (action instanceof Router.Send send) {
-                ByteBuffer to = start(1060).putLong(send.id());
+            if (action instanceof RoutingAction.StartAttempt send) {
+                ByteBuffer to = start(1060).putLong(send.requestId());
                 engine(to, send.engine());
-                to.putDouble(send.untilMs());
-            } else if (action instanceof Router.Cancel cancel) {
-                start(1090).putLong(cancel.id()).put((byte) cancel.attempt());
-            } else if (action instanceof Router.Release release) {
-                start(1100).putLong(release.id());
-            } else if (action instanceof Router.Refuse refuse) {
-                start(1050).putLong(refuse.id()).putDouble(refuse.retryAfterMs());
-            } else if (action instanceof Router.Fail fail) {
-                start(1130).putLong(fail.id());
-            } else if (action instanceof Router.SetTimer timer) {
+                to.putDouble(send.deadlineMs());
+            } else if (action instanceof RoutingAction.CancelAttempt cancel) {
+                start(1090).putLong(cancel.requestId()).put((byte) cancel.attempt());
+            } else if (action instanceof RoutingAction.ReleaseState release) {
+                start(1100).putLong(release.requestId());
+            } else if (action instanceof RoutingAction.RejectRequest refuse) {
+                start(1050).putLong(refuse.requestId()).putDouble(refuse.retryAfterMs());
+            } else if (action instanceof RoutingAction.FailRequest fail) {
+                start(1130).putLong(fail.requestId());
+            } else if (action instanceof RoutingAction.SetTimer timer) {
                 start(1070).putLong(timer.token()).putDouble(timer.atMs());
-            } else if (action instanceof Router.Subscribe) {
+            } else if (action instanceof RoutingAction.SubscribeEndpoints) {
                 start(1120).put((byte) 1);
-            } else if (action instanceof Router.FetchList) {
+            } else if (action instanceof RoutingAction.FetchEndpoints) {
                 start(1150);
             }
             end();
--- a/src/main/java/maplerail/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -8,22 +8,38 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import maplerail.Router;
 import maplerail.config.SettingsReader;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
 
 /** Hosts one decision module for each simulated node and passes events and actions between them and the wire. */
 final class Host {
     private final Map<Integer, Node> nodes = new HashMap<>();
-    private final Function<Router.Settings, Router> modules;
+    private final Function<RoutingSettings, RoutingPolicy> modules;
 
-    private record Node(Router router, int memoryColumn, Told told) {}
+    private record Node(RoutingPolicy router, int memoryColumn, Told told) {}
 
     private static final int MAIL = 1080;
+    private static final Map<Class<? extends RoutingEvent>, String> WIRE_NAMES = Map.of(
+            RoutingEvent.EndpointUpdate.class, "Members",
+            RoutingEvent.RequestArrived.class, "Arrival",
+            RoutingEvent.FirstToken.class, "FirstToken",
+            RoutingEvent.AttemptEnded.class, "Ended",
+            RoutingEvent.RequestAbandoned.class, "Abandoned",
+            RoutingEvent.TimerFired.class, "Timer",
+            RoutingEvent.PeerRead.class, "Seen");
 
-    Host(Function<Router.Settings, Router> modules) {
+    Host(Function<RoutingSettings, RoutingPolicy> modules) {
         this.modules = modules;
     }
 
+    /** The name of an event in the text of a fault, which goes out on the simulator's wire. */
+    private static String wireName(RoutingEvent event) {
+        return WIRE_NAMES.get(event.getClass());
+    }
+
     void serve(InputStream in, OutputStream out) throws IOException {
         for (Codec.Batch batch = Codec.read(in); batch != null; batch = Codec.read(in)) {
             out.write(answer(batch).bytes());
@@ -46,9 +62,9 @@
             }
             if (code == Codec.LAUNCH) {
                 SettingsReader.Parsed parsed = SettingsReader.read(batch.u64(record, 2), batch.text(record, 10));
-                Router.Settings settings = parsed.settings();
+                RoutingSettings settings = parsed.settings();
                 boolean tells =
-                        parsed.tellRank() >= 0 && parsed.tellRank() < settings.routers() && settings.routers() > 1;
+                        parsed.tellRank() >= 0 && parsed.tellRank() < settings.gateways() && settings.gateways() > 1;
                 Told told = tells ? new Told(settings, parsed.tellRank(), batch.clockMs) : null;
                 nodes.put(instance, new Node(modules.apply(settings), parsed.memoryColumn(), told));
                 if (told != null) {
@@ -67,12 +83,12 @@
                 throw new WireException(
                         "record " + record + ": code " + code + " for instance " + instance + ", which is not up");
             }
-            List<Router.Event> events = new ArrayList<>();
-            Router.Event event = code == MAIL ? null : batch.event(record, node.memoryColumn());
+            List<RoutingEvent> events = new ArrayList<>();
+            RoutingEvent event = code == MAIL ? null : batch.event(record, node.memoryColumn());
             Told told = node.told();
             if (told != null && code == MAIL) {
                 events.addAll(told.heard((int) batch.u32(record, 2), batch.bytes(record, 6)));
-            } else if (told != null && event instanceof Router.Timer timer && timer.token() == Told.TIMER) {
+            } else if (told != null && event instanceof RoutingEvent.TimerFired timer && timer.token() == Told.TIMER) {
                 byte[] datagram = told.due();
                 if (named != instance) reply.instance(instance);
                 named = instance;
@@ -86,13 +102,13 @@
             if (events.isEmpty()) {
                 continue;
             }
-            List<Router.Action> actions;
+            List<RoutingAction> actions;
             String fault = null;
             try {
                 actions = node.router().step(batch.clockMs, events);
             } catch (RuntimeException e) {
                 actions = List.of();
-                fault = "instance " + instance + ": " + events.get(0).getClass().getSimpleName() + ": " + e
+                fault = "instance " + instance + ": " + wireName(events.get(0)) + ": " + e
                         + (e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : "");
             }
             if (named != instance && (fault != null || !actions.isEmpty())) {
@@ -102,7 +118,7 @@
             if (fault != null) {
                 reply.broken(fault);
             }
-            for (Router.Action action : actions) {
+            for (RoutingAction action : actions) {
                 reply.action(action);
             }
         }
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.tngtech.archunit.base.DescribedPredicate;
-import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -12,7 +10,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class ArchitectureTest {
@@ -20,29 +20,39 @@
             .withImportOption(new ImportOption.DoNotIncludeTests())
             .importPackages("maplerail");
 
-    private static final DescribedPredicate<JavaClass> LOGIC_ROUTER_OR_JDK = DescribedPredicate.describe(
-            "Logic, Router or java.*",
-            c -> c.getName().startsWith("maplerail.Logic")
-                    || c.getName().startsWith("maplerail.Router")
-                    || c.getPackageName().startsWith("java.")
-                    || c.isPrimitive()
-                    || c.isArray());
+    private static final String[] DECISIONS = {"maplerail.routing..", "maplerail.algorithms.."};
 
     @Test
-    void logicKnowsOnlyRouterAndTheJdk() {
+    void routingKnowsOnlyItsContractGeneralStructuresAndTheJdk() {
         ArchRuleDefinition.classes()
                 .that()
-                .haveNameMatching("maplerail\\.(Logic|Router).*")
+                .resideInAnyPackage("maplerail.routing..")
                 .should()
-                .onlyDependOnClassesThat(LOGIC_ROUTER_OR_JDK)
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage("java..", "maplerail.routing..", "maplerail.algorithms..")
+                .check(classes);
+        ArchRuleDefinition.classes()
+                .that()
+                .resideInAPackage("maplerail.routing")
+                .should()
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage("java..", "maplerail.routing")
+                .as("the contract does not know the policy")
+                .check(classes);
+        ArchRuleDefinition.classes()
+                .that()
+                .resideInAPackage("maplerail.algorithms..")
+                .should()
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage("java..", "maplerail.algorithms..")
                 .check(classes);
     }
 
     @Test
-    void logicHasNoClockNoInputNoThreads() {
+    void routingHasNoClockNoInputNoThreads() {
         ArchRuleDefinition.noClasses()
                 .that()
-                .haveNameMatching("maplerail\\.Logic.*")
+                .resideInAnyPackage(DECISIONS)
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..", "java.util.concurrent..")
@@ -120,7 +130,8 @@
                         "java.util.function",
                         "java.util.stream",
                         "maplerail.fleet..",
-                        "maplerail")
+                        "maplerail.routing",
+                        "maplerail.algorithms")
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
@@ -211,11 +222,21 @@
                 .check(new ClassFileImporter().importPath("target/classes/org"));
     }
 
+    /** The operators run no longer decision module; the deploy file's {@code policy} names its files. */
     @Test
-    void logicIsShortEnoughToReadAloud() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/maplerail/Logic.java"));
+    void thePolicyIsShortEnoughToReadAloud() throws IOException {
+        Path policy = Path.of("src/main/java/maplerail/routing/d2lpm");
+        for (String deployFile : List.of("deploy/balancer.toml", "deploy/trace.toml")) {
+            assertTrue(Files.readString(Path.of(deployFile)).contains("policy = [\"" + policy + "\"]"), deployFile);
+        }
+        List<String> lines = new ArrayList<>();
+        try (Stream<Path> files = Files.walk(policy)) {
+            for (Path file : files.filter(Files::isRegularFile).toList()) lines.addAll(Files.readAllLines(file));
+        }
+        assertTrue(lines.size() > 500, "the policy is found");
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 950);
         assertEquals(List.of(), lines.stream().filter(l -> l.length() > 110).toList());
-        assertTrue(lines.stream().limit(25).anyMatch(l -> l.contains("Router.java")));
+        String top = Files.readString(policy.resolve("D2lpmPolicy.java")).split("public final class", 2)[0];
+        assertTrue(top.contains("RoutingPolicy.java"), "its doc comment names the contract");
     }
 }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -9,15 +9,21 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
-import maplerail.Router;
-import maplerail.Router.Cancel;
-import maplerail.Router.Ended;
-import maplerail.Router.ListKind;
-import maplerail.Router.Member;
-import maplerail.Router.Outcome;
-import maplerail.Router.Refuse;
-import maplerail.Router.Release;
-import maplerail.Router.State;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.EngineRole;
+import maplerail.routing.Idempotency;
+import maplerail.routing.IdempotencyScope;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingAction.CancelAttempt;
+import maplerail.routing.RoutingAction.RejectRequest;
+import maplerail.routing.RoutingAction.ReleaseState;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingEvent.AttemptEnded;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,8 +38,8 @@
 
     private final TestLoop loop = new TestLoop();
     private final maplerail.metrics.Metrics metrics = new maplerail.metrics.Metrics();
-    private final List<Router.Event> told = new ArrayList<>();
-    private final List<Router.Action> next = new ArrayList<>();
+    private final List<RoutingEvent> told = new ArrayList<>();
+    private final List<RoutingAction> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
     private final List<String> wire = new ArrayList<>();
@@ -43,7 +49,7 @@
     private boolean broken;
     private boolean between;
     private Object client; // what the caller gives up of itself, if it can
-    private final List<Router.Action> atEnd =
+    private final List<RoutingAction> atEnd =
             new ArrayList<>(); // what the module orders when it hears an attempt ended
     private Broker broker;
     private Ticket inheritedTicket;
@@ -128,19 +134,19 @@
 
     @BeforeEach
     void start() {
-        Router router = (now, events) -> {
+        RoutingPolicy router = (now, events) -> {
             if (broken) throw new IllegalStateException("oops");
             told.addAll(events);
-            if (!atEnd.isEmpty() && events.get(0) instanceof Ended) {
-                List<Router.Action> actions = List.copyOf(atEnd);
+            if (!atEnd.isEmpty() && events.get(0) instanceof AttemptEnded) {
+                List<RoutingAction> actions = List.copyOf(atEnd);
                 atEnd.clear();
                 return actions;
             }
-            List<Router.Action> actions = List.copyOf(next);
+            List<RoutingAction> actions = List.copyOf(next);
             next.clear();
             return actions;
         };
-        Router.Settings settings = new Router.Settings(
+        RoutingSettings settings = new RoutingSettings(
                 1,
                 1,
                 0,
@@ -149,9 +155,11 @@
                 1,
                 List.of(),
                 List.of(),
-                List.of(new Router.Kind(Router.Role.READ, 1), new Router.Kind(Router.Role.WRITE, 1)),
-                new Router.Limits(5, true, true, true, 1_000, false),
-                new Router.Rules(8, 500, 1, 1, 1, 1, 1));
+                List.of(
+                        new RoutingSettings.EngineKind(EngineRole.READER, 1),
+                        new RoutingSettings.EngineKind(EngineRole.WRITER, 1)),
+                new RoutingSettings.Limits(5, true, true, true, 1_000, false),
+                new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1));
         Engines engines = new Engines() {
             @Override
             public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
@@ -179,21 +187,23 @@
                 line -> {},
                 metrics,
                 List.of("a", "b", "c"));
-        list(State.READY);
+        list(EndpointState.READY);
         told.clear();
     }
 
-    private void list(State writer) {
-        broker.members(new Router.Members(
-                ListKind.WHOLE,
+    private void list(EndpointState writer) {
+        broker.members(new RoutingEvent.EndpointUpdate(
+                EndpointUpdateKind.SNAPSHOT,
                 1,
-                List.of(new Member(READER, State.READY, 0, 0, 0, 1, 0), new Member(WRITER, writer, 0, 0, 0, 1, 1))));
+                List.of(
+                        new Endpoint(READER, EndpointState.READY, 0, 0, 0, 1, 0),
+                        new Endpoint(WRITER, writer, 0, 0, 0, 1, 1))));
     }
 
     /** Makes the module do something, by news that changes nothing. */
-    private void act(Router.Action... actions) {
+    private void act(RoutingAction... actions) {
         next.addAll(List.of(actions));
-        broker.members(new Router.Members(ListKind.CHANGES, 2, List.of()));
+        broker.members(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, List.of()));
     }
 
     /** Once for each final answer, whoever gives it and however often it is tried; nothing for a client that has gone. */
@@ -202,21 +212,21 @@
         take("served", send(READER));
         next.add(send(WRITER));
         out.get(0).answer.written();
-        out.get(0).answer.ended(Outcome.READ, 7);
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 7);
         out.get(1).answer.written();
         out.get(1).answer.event(new byte[1]);
         assertThat(counts()).containsEntry("current", 1L).containsEntry("answered.a", 0L);
-        out.get(1).answer.ended(Outcome.SERVED, 0);
-        take("broken", new Router.Send(2, WRITER, 0));
+        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        take("broken", new RoutingAction.StartAttempt(2, WRITER, 0));
         out.get(2).answer.event(new byte[1]);
-        out.get(2).answer.ended(Outcome.RESET, 0);
-        take("refused", new Refuse(3, 0));
-        take("failed", new Router.Fail(4));
-        Ticket gone = take("gone", new Router.Send(5, READER, 0));
+        out.get(2).answer.ended(AttemptOutcome.RESET, 0);
+        take("refused", new RejectRequest(3, 0));
+        take("failed", new RoutingAction.FailRequest(4));
+        Ticket gone = take("gone", new RoutingAction.StartAttempt(5, READER, 0));
         take("gone"); // the same id while it is open
         gone.gone();
         gone.gone();
-        out.get(3).answer.ended(Outcome.RESET, 0);
+        out.get(3).answer.ended(AttemptOutcome.RESET, 0);
         loop.until(30_000);
         assertThat(counts())
                 .containsEntry("answered.a", 1L)
@@ -229,7 +239,7 @@
     /** Between two events, and where the client can be given up too: then it is another's, and nobody ends it here. */
     @Test
     void aStreamGoesToAnotherProcessWholeOrNotAtAll() {
-        take("one", new Router.Send(1, WRITER, 0));
+        take("one", new RoutingAction.StartAttempt(1, WRITER, 0));
         assertThat(broker.yieldStreams(9)).as("not begun").isEmpty();
         out.get(0).answer.event(new byte[1]);
         assertThat(broker.yieldStreams(9)).as("within an event").isEmpty();
@@ -240,7 +250,7 @@
         assertThat(broker.yieldStreams(0)).as("no more than is asked for").isEmpty();
         assertThat(broker.yieldStreams(9)).containsExactly(new Broker.Moving("a", "one", "client", out.get(0)));
         assertThat(broker.yieldStreams(9)).isEmpty();
-        out.get(0).answer.ended(Outcome.SERVED, 0);
+        out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
         loop.until(30_000);
         assertThat(caller).containsExactly("event");
         assertThat(broker.remembered()).isZero();
@@ -251,8 +261,8 @@
     }
 
     static Stream<Arguments> ends() {
-        Consumer<BrokerTest> served = t -> t.out.get(0).answer.ended(Outcome.SERVED, 0);
-        Consumer<BrokerTest> reset = t -> t.out.get(0).answer.ended(Outcome.RESET, 0);
+        Consumer<BrokerTest> served = t -> t.out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
+        Consumer<BrokerTest> reset = t -> t.out.get(0).answer.ended(AttemptOutcome.RESET, 0);
         Consumer<BrokerTest> gone = t -> t.inheritedTicket.gone();
         Consumer<BrokerTest> silence = t -> t.loop.until(t.loop.now + 3_000);
         Consumer<BrokerTest> left = t -> t.broker.breakOff(1);
@@ -281,7 +291,7 @@
         assertThat(broker.unanswered()).isEqualTo(1);
         end.accept(this);
         out.get(0).answer.event(new byte[1]);
-        out.get(0).answer.ended(Outcome.RESET, 0);
+        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
         inheritedTicket.gone();
         loop.until(loop.now + 30_000);
         assertThat(caller).isEqualTo(said == null ? List.of("event") : List.of("event", said));
@@ -299,11 +309,11 @@
         return all;
     }
 
-    private Ticket take(String id, Router.Action... actions) {
+    private Ticket take(String id, RoutingAction... actions) {
         return take(id, false, actions);
     }
 
-    private Ticket take(String id, boolean again, Router.Action... actions) {
+    private Ticket take(String id, boolean again, RoutingAction... actions) {
         next.addAll(List.of(actions));
         return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, again, 10, new Cargo() {}), caller());
     }
@@ -343,14 +353,14 @@
         };
     }
 
-    private static Router.Send send(long engine) {
-        return new Router.Send(1, engine, 0);
+    private static RoutingAction.StartAttempt send(long engine) {
+        return new RoutingAction.StartAttempt(1, engine, 0);
     }
 
-    private List<Outcome> outcomes() {
+    private List<AttemptOutcome> outcomes() {
         return told.stream()
-                .filter(e -> e instanceof Ended)
-                .map(e -> ((Ended) e).outcome())
+                .filter(e -> e instanceof AttemptEnded)
+                .map(e -> ((AttemptEnded) e).outcome())
                 .toList();
     }
 
@@ -359,7 +369,7 @@
     void whatComesBeforeTheEndIsAnsweredByThen() {
         broker.endBy(loop.nowMs() + 900);
         take("a", send(READER));
-        assertThat(((Router.Arrival) told.get(0)).budgetMs()).isEqualTo(900);
+        assertThat(((RoutingEvent.RequestArrived) told.get(0)).budgetMs()).isEqualTo(900);
         loop.until(loop.nowMs() + 1_000);
         assertThat(caller).containsExactly("fail DEADLINE");
     }
@@ -368,16 +378,16 @@
     void aRequestIsReadWrittenAndAnsweredOnce() {
         take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.READ, 7);
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 7);
         out.get(1).answer.event(new byte[1]);
         out.get(1).answer.event(new byte[1]);
-        next.add(new Refuse(1, 0));
-        out.get(1).answer.ended(Outcome.SERVED, 0);
+        next.add(new RejectRequest(1, 0));
+        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
         loop.until(20_000);
         assertThat(caller).containsExactly("event", "event", "end");
-        assertThat(told).filteredOn(e -> e instanceof Router.FirstToken).hasSize(1);
-        assertThat(((Ended) told.get(1)).kept()).isEqualTo(7);
-        assertThat(((Ended) told.get(told.size() - 1)).closed()).isTrue();
+        assertThat(told).filteredOn(e -> e instanceof RoutingEvent.FirstToken).hasSize(1);
+        assertThat(((AttemptEnded) told.get(1)).cachedTokens()).isEqualTo(7);
+        assertThat(((AttemptEnded) told.get(told.size() - 1)).requestClosed()).isTrue();
         assertThat(released).isEmpty();
         assertThat(broker.remembered()).isZero();
     }
@@ -385,7 +395,7 @@
     @Test
     void aWholeAnswerWithoutAnEventIsServedAtOnce() {
         take("a", send(WRITER));
-        out.get(0).answer.ended(Outcome.SERVED, 0);
+        out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).containsExactly("end");
         assertThat(broker.remembered()).isZero();
     }
@@ -395,7 +405,7 @@
         broken = true;
         take("a");
         broken = false;
-        take("b", new Refuse(2, 0));
+        take("b", new RejectRequest(2, 0));
         assertThat(caller).containsExactly("refuse OVERLOAD 0");
         loop.until(6_004);
         assertThat(caller).containsExactly("refuse OVERLOAD 0", "fail DEADLINE");
@@ -416,8 +426,8 @@
         take("a", send(WRITER));
         loop.until(6_004);
         assertThat(caller).containsExactly("fail DEADLINE");
-        assertThat(outcomes()).containsExactly(Outcome.TIMEOUT);
-        assertThat(told).anyMatch(e -> e instanceof Router.Abandoned);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.TIMEOUT);
+        assertThat(told).anyMatch(e -> e instanceof RoutingEvent.RequestAbandoned);
         assertThat(broker.remembered()).isZero();
     }
 
@@ -425,7 +435,7 @@
     @ParameterizedTest
     @CsvSource({"3000, false", "0, false", "0, true"})
     void whatHasComeIsHeardBeforeItIsGivenUp(double untilMs, boolean stall) {
-        take("a", new Router.Send(1, WRITER, untilMs == 0 ? 0 : loop.now + untilMs));
+        take("a", new RoutingAction.StartAttempt(1, WRITER, untilMs == 0 ? 0 : loop.now + untilMs));
         Out attempt = out.get(0);
         if (stall) {
             attempt.answer.event(new byte[1]);
@@ -433,11 +443,11 @@
         }
         attempt.come = () -> {
             attempt.answer.event(new byte[1]);
-            attempt.answer.ended(Outcome.SERVED, 0);
+            attempt.answer.ended(AttemptOutcome.COMPLETED, 0);
         };
         loop.until(20_000);
         assertThat(caller).endsWith("event", "end").doesNotContain("broken", "fail DEADLINE");
-        assertThat(outcomes()).containsExactly(Outcome.SERVED);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.COMPLETED);
         assertThat(broker.remembered()).isZero();
     }
 
@@ -445,10 +455,10 @@
     @ParameterizedTest
     @CsvSource({"1100, false", "900, true"})
     void aKeyedRepeatIsNotWrittenPastItsWindow(double afterMs, boolean written) {
-        Router.RequestClass keyed =
-                new Router.RequestClass(1_000, 0, 5_000, 60, 1, 0, Router.Repeat.KEYED, Router.Scope.ALL, 1_000);
+        RoutingSettings.RequestClass keyed = new RoutingSettings.RequestClass(
+                1_000, 0, 5_000, 60, 1, 0, Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ALL, 1_000);
         broker.retune(
-                new Router.Settings(
+                new RoutingSettings(
                         1,
                         1,
                         0,
@@ -458,8 +468,8 @@
                         List.of(keyed),
                         List.of(),
                         List.of(),
-                        new Router.Limits(5, true, true, true, 1_000, false),
-                        new Router.Rules(8, 500, 1, 1, 1, 1, 1)),
+                        new RoutingSettings.Limits(5, true, true, true, 1_000, false),
+                        new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1)),
                 List.of("a"));
         take("a", send(READER));
         loop.until(1_900);
@@ -468,14 +478,14 @@
         loop.until(1_000 + afterMs);
         assertThat(out.get(1).answer.wanted()).isEqualTo(written);
         assertThat(out.get(1).aborted).isNotEqualTo(written);
-        assertThat(outcomes()).isEqualTo(written ? List.of() : List.of(Outcome.NOT_SENT));
+        assertThat(outcomes()).isEqualTo(written ? List.of() : List.of(AttemptOutcome.NOT_SENT));
     }
 
     @Test
     void aStreamThatItsEngineHasFinishedIsPassedOnToItsEndThoughStreamsAreLeft() {
         take("a", send(WRITER));
         out.get(0).answer.event(new byte[1]);
-        out.get(0).come = () -> out.get(0).answer.ended(Outcome.SERVED, 0);
+        out.get(0).come = () -> out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
         broker.breakOff(1);
         assertThat(caller).containsExactly("event", "end");
     }
@@ -488,7 +498,7 @@
             loop.until(second * 1_000);
         }
         assertThat(out.get(0).aborted).isFalse();
-        out.get(0).answer.ended(Outcome.RESET, 0);
+        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
         assertThat(caller).startsWith("event").endsWith("broken");
     }
 
@@ -506,7 +516,7 @@
         loop.until(33_100);
         assertThat(caller).containsExactly("event", "broken");
         assertThat(out.get(0).aborted).isTrue();
-        assertThat(outcomes()).containsExactly(Outcome.RESET);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.RESET);
         assertThat(broker.remembered()).isZero();
     }
 
@@ -514,14 +524,14 @@
     void aCallerThatLeavesEndsTheAttemptsAndWhatIsHeldIsLetGo() {
         Ticket ticket = take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.READ, 0);
-        next.add(new Release(1));
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        next.add(new ReleaseState(1));
         ticket.gone();
         assertThat(out.get(1).aborted).isTrue();
-        assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.CANCELLED);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.PROMPT_READ, AttemptOutcome.CANCELLED);
         assertThat(released).contains("1/a");
         out.get(1).answer.event(new byte[1]);
-        out.get(1).answer.ended(Outcome.SERVED, 0);
+        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).isEmpty();
         assertThat(broker.remembered()).isZero();
     }
@@ -531,8 +541,8 @@
     void whatAWriteWaitsForIsLetGoOnceItsConnectionHasEnded() {
         Ticket ticket = take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.READ, 0);
-        next.add(new Release(1));
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        next.add(new ReleaseState(1));
         ticket.gone();
         assertThat(wire).containsExactly("cut", "release");
         loop.until(1_399);
@@ -555,17 +565,17 @@
 
     @Test
     void theFleetForgetsEnginesThatAreGone() {
-        Fleet fleet = new Fleet(List.of(new Router.Kind(Router.Role.READ, 1)));
+        Fleet fleet = new Fleet(List.of(new RoutingSettings.EngineKind(EngineRole.READER, 1)));
         for (long id = 1; id <= 1_000; id++) {
-            fleet.hear(new Router.Members(
-                    ListKind.CHANGES,
+            fleet.hear(new RoutingEvent.EndpointUpdate(
+                    EndpointUpdateKind.DELTA,
                     id,
                     List.of(
-                            new Member(id, State.READY, 0, 0, 0, 1, 0),
-                            new Member(id - 1, State.GONE, 0, 0, 0, 1, 0))));
+                            new Endpoint(id, EndpointState.READY, 0, 0, 0, 1, 0),
+                            new Endpoint(id - 1, EndpointState.REMOVED, 0, 0, 0, 1, 0))));
         }
         assertThat(fleet.size()).isEqualTo(1);
-        fleet.hear(new Router.Members(ListKind.WHOLE, 2_000, List.of()));
+        fleet.hear(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2_000, List.of()));
         assertThat(fleet.size()).isZero();
     }
 
@@ -585,8 +595,8 @@
     @Test
     void aReadThatWasCutOffIsLetGoAgainAndAgain() {
         take("a", send(READER));
-        act(new Cancel(1, 0));
-        assertThat(outcomes()).containsExactly(Outcome.CANCELLED);
+        act(new CancelAttempt(1, 0));
+        assertThat(outcomes()).containsExactly(AttemptOutcome.CANCELLED);
         assertThat(released).containsExactly("1/a");
         loop.until(1_399);
         assertThat(released).as("the engine may see the release before the end").containsExactly("1/a", "1/a");
@@ -600,7 +610,7 @@
     @Test
     void aReadThatBrokeIsLetGoAgainAndAgain() {
         take("a", send(READER));
-        out.get(0).answer.ended(Outcome.RESET, 0);
+        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
         assertThat(released).containsExactly("1/a");
         loop.until(3_000);
         assertThat(broker.lettingGo()).isZero();
@@ -612,18 +622,19 @@
     void aStateIsLetGoInTimeThoughConnectionsFailToComeUp() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.READ, 0);
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
         unsent = true;
         loop.until(loop.now + 400);
         atEnd.add(send(WRITER));
-        out.get(1).answer.ended(Outcome.UNREACHABLE, 0);
+        out.get(1).answer.ended(AttemptOutcome.UNREACHABLE, 0);
         loop.until(loop.now + 200);
         assertThat(released).isEmpty();
         loop.until(loop.now + 100);
         assertThat(released).contains("1/a");
-        assertThat(outcomes()).containsExactly(Outcome.READ, Outcome.UNREACHABLE, Outcome.STATE_GONE);
+        assertThat(outcomes())
+                .containsExactly(AttemptOutcome.PROMPT_READ, AttemptOutcome.UNREACHABLE, AttemptOutcome.STATE_LOST);
         act(send(WRITER));
-        assertThat(outcomes()).last().isEqualTo(Outcome.STATE_GONE);
+        assertThat(outcomes()).last().isEqualTo(AttemptOutcome.STATE_LOST);
         assertThat(out).as("nothing is sent for a state that is gone").hasSize(3);
     }
 
@@ -632,27 +643,27 @@
     void aStateThatAWriteWaitsForIsKept() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.READ, 0);
+        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
         loop.until(loop.now + 2_000);
         assertThat(released).isEmpty();
-        assertThat(outcomes()).containsExactly(Outcome.READ);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.PROMPT_READ);
     }
 
     @Test
     void whatABrokenReadLeftIsLetGoAfterAStreamToo() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(Outcome.RESET, 0);
+        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
         out.get(1).answer.event(new byte[1]);
         assertThat(released).as("its writer streams").isEmpty();
-        out.get(1).answer.ended(Outcome.SERVED, 0);
+        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
         assertThat(released).contains("1/a");
     }
 
     @Test
     void aLeftoverIsNotLetGoWhileItsReaderIsInUse() {
         take("a", send(READER));
-        act(new Cancel(1, 0), send(READER));
+        act(new CancelAttempt(1, 0), send(READER));
         loop.until(1_400);
         assertThat(released).isEmpty();
     }
@@ -660,22 +671,22 @@
     /** A loop that is behind decides before it hears what has come: the news counts from when it was told. */
     @Test
     void whatIsDecidedBeforeNewsThatHasComeObeysItToo() {
-        broker.freshen(() -> list(State.DRAINING));
+        broker.freshen(() -> list(EndpointState.DRAINING));
         take("a", send(WRITER));
         assertThat(out).isEmpty();
-        assertThat(outcomes()).containsExactly(Outcome.NOT_SENT);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.NOT_SENT);
     }
 
     @Test
     void whatHasNotGoneOutObeysADrain() {
         take("a", send(WRITER));
         unsent = true;
-        list(State.DRAINING);
+        list(EndpointState.DRAINING);
         assertThat(out.get(0).aborted).isTrue();
-        assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.UNREACHABLE);
         act(send(WRITER));
         assertThat(out).hasSize(1);
-        assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE, Outcome.NOT_SENT);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.UNREACHABLE, AttemptOutcome.NOT_SENT);
     }
 
     /** Guards against a module that answers a withdrawn attempt with another at once: the list of attempts grows. */
@@ -683,9 +694,9 @@
     void aDrainThatWithdrawsAnAttemptMayBeAnsweredByAnotherAtOnce() {
         take("a", send(WRITER));
         unsent = true;
-        atEnd.add(new Router.Send(1, READER, 0));
-        list(State.DRAINING);
-        assertThat(outcomes()).containsExactly(Outcome.UNREACHABLE);
+        atEnd.add(new RoutingAction.StartAttempt(1, READER, 0));
+        list(EndpointState.DRAINING);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.UNREACHABLE);
         assertThat(out).hasSize(2);
     }
 
@@ -693,11 +704,11 @@
     void aStreamThatIsTheCallersIsNotCalledOffAndASecondOneIs() {
         take("a", send(WRITER), send(WRITER));
         out.get(1).answer.event(new byte[1]);
-        act(new Cancel(1, 1));
+        act(new CancelAttempt(1, 1));
         assertThat(out.get(1).aborted).isFalse();
         out.get(0).answer.event(new byte[1]);
         assertThat(out.get(0).aborted).isTrue();
-        out.get(1).answer.ended(Outcome.SERVED, 0);
+        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).containsExactly("event", "end");
     }
 
@@ -706,7 +717,7 @@
         for (String id : List.of("a", "a", "b", "c", "d")) take(id);
         assertThat(caller).first().isEqualTo("fail DUPLICATE");
         assertThat(caller).hasSize(2).last().asString().matches("refuse OVERLOAD ([5-9].|1[0-4].|150)");
-        act(new Refuse(1, 250));
+        act(new RejectRequest(1, 250));
         take("a");
         assertThat(caller).endsWith("refuse OVERLOAD 250");
         assertThat(broker.unanswered()).isEqualTo(3);
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -7,7 +7,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
-import maplerail.Router.State;
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.Json;
@@ -15,6 +14,7 @@
 import maplerail.config.Tree;
 import maplerail.net.Pool;
 import maplerail.net.XnioLoop;
+import maplerail.routing.EndpointState;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
@@ -40,7 +40,7 @@
         "maintenance,passing,DRAINING",
         "passing,unheard,DRAINING"
     })
-    void aServerIsCalledWhileNoCheckIsCritical(String one, String two, State state) {
+    void aServerIsCalledWhileNoCheckIsCritical(String one, String two, EndpointState state) {
         EngineList list = ConsulWatch.read(Tree.any("health", """
                 [{"Node":{"Node":"n","Address":"127.0.0.9"},"Service":{"ID":"r1","Address":"","Port":80},
                   "Checks":[{"Status":"%s"},{"Status":"%s"}]},
@@ -101,8 +101,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"in_service,READY", "terminating,DRAINING", "terminated,GONE", "on_holiday,DRAINING"})
-    void aHealthThatIsNotKnownGetsNothingNew(String health, State state) {
+    @CsvSource({"in_service,READY", "terminating,DRAINING", "terminated,REMOVED", "on_holiday,DRAINING"})
+    void aHealthThatIsNotKnownGetsNothingNew(String health, EndpointState state) {
         assertThat(platform("127.0.0.1:80", health).members().get(0).state()).isEqualTo(state);
     }
 
--- a/src/test/java/maplerail/fleet/ExchangeTest.java
+++ b/src/test/java/maplerail/fleet/ExchangeTest.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
-import maplerail.Router;
+import maplerail.routing.RoutingEvent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -30,7 +30,7 @@
         a.read(0xdead, 50, 10); // not in the list: not told
         byte[] datagram = a.due();
         assertThat(datagram).hasSize(Datagram.HEAD + Datagram.FACT);
-        assertThat(b.hear(0, datagram, datagram.length)).containsExactly(new Router.Seen(READER, 200, 2_000));
+        assertThat(b.hear(0, datagram, datagram.length)).containsExactly(new RoutingEvent.PeerRead(READER, 200, 2_000));
         assertThat(a.due()).as("nothing new, nothing sent").isNull();
         assertThat(a.sent()).isEqualTo(1);
         assertThat(a.sentBytes()).isEqualTo(datagram.length);
--- a/src/test/java/maplerail/fleet/OutliersTest.java
+++ b/src/test/java/maplerail/fleet/OutliersTest.java
@@ -10,10 +10,10 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
-import maplerail.Router.ListKind;
-import maplerail.Router.Member;
-import maplerail.Router.Members;
-import maplerail.Router.State;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.RoutingEvent.EndpointUpdate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -170,27 +170,33 @@
     @Test
     void aViewShowsHeldEnginesAsDraining() {
         View view = new View();
-        assertThat(view.hear(news(ListKind.WHOLE, State.READY, State.READY)).members())
-                .extracting(Member::state)
-                .containsExactly(State.READY, State.READY);
-        assertThat(view.hold(Set.of(1L)).members()).extracting(Member::state).containsExactly(State.DRAINING);
+        assertThat(view.hear(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
+                        .endpoints())
+                .extracting(Endpoint::state)
+                .containsExactly(EndpointState.READY, EndpointState.READY);
+        assertThat(view.hold(Set.of(1L)).endpoints())
+                .extracting(Endpoint::state)
+                .containsExactly(EndpointState.DRAINING);
         assertThat(view.hold(Set.of(1L))).as("nothing new").isNull();
         assertThat(view.held()).isEqualTo(1);
-        assertThat(view.hear(news(ListKind.WHOLE, State.READY, State.READY)).members())
-                .extracting(Member::state)
+        assertThat(view.hear(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
+                        .endpoints())
+                .extracting(Endpoint::state)
                 .as("told again")
-                .containsExactly(State.DRAINING, State.READY);
-        view.hear(news(ListKind.CHANGES, State.DRAINING, State.READY));
+                .containsExactly(EndpointState.DRAINING, EndpointState.READY);
+        view.hear(news(EndpointUpdateKind.DELTA, EndpointState.DRAINING, EndpointState.READY));
         assertThat(view.held()).isZero();
         assertThat(view.hold(Set.of())).as("discovery has it drain").isNull();
-        assertThat(view.hear(news(ListKind.CHANGES, State.READY, State.GONE)).members())
-                .extracting(Member::state)
-                .containsExactly(State.READY, State.GONE);
+        assertThat(view.hear(news(EndpointUpdateKind.DELTA, EndpointState.READY, EndpointState.REMOVED))
+                        .endpoints())
+                .extracting(Endpoint::state)
+                .containsExactly(EndpointState.READY, EndpointState.REMOVED);
         assertThat(view.kinds()).containsOnlyKeys(1L);
         assertThat(view.hold(Set.of(2L))).as("one that is gone").isNull();
     }
 
-    private static Members news(ListKind kind, State one, State two) {
-        return new Members(kind, 1, List.of(new Member(1, one, 0, 0, 0, 1, 0), new Member(2, two, 0, 0, 0, 1, 0)));
+    private static EndpointUpdate news(EndpointUpdateKind kind, EndpointState one, EndpointState two) {
+        return new EndpointUpdate(
+                kind, 1, List.of(new Endpoint(1, one, 0, 0, 0, 1, 0), new Endpoint(2, two, 0, 0, 0, 1, 0)));
     }
 }
--- a/src/test/java/maplerail/handover/HandoverTest.java
+++ b/src/test/java/maplerail/handover/HandoverTest.java
@@ -6,7 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
-import maplerail.Router.Held;
+import maplerail.routing.RoutingEvent.PrefixCached;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,8 +17,8 @@
     private static final Notes NOTES = new Notes(
             NOW,
             List.of(
-                    new Held(true, -7, 0xa89b790ba0b6L, 2_352, NOW - 40),
-                    new Held(false, 0x299e4f76b58adL, 0xd1fefdb73830L, 1_785, NOW - 19_000)));
+                    new PrefixCached(true, -7, 0xa89b790ba0b6L, 2_352, NOW - 40),
+                    new PrefixCached(false, 0x299e4f76b58adL, 0xd1fefdb73830L, 1_785, NOW - 19_000)));
 
     @TempDir
     Path folder;
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -18,10 +18,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
-import maplerail.Router;
 import maplerail.config.EngineList;
 import maplerail.core.Ask;
 import maplerail.core.Engines;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
@@ -281,11 +283,11 @@
             Pool pool = pool(30_000);
             EngineClient client = new EngineClient(pool);
             Map<Long, InetSocketAddress> at = new HashMap<>();
-            List<Router.Member> members = new ArrayList<>();
+            List<Endpoint> members = new ArrayList<>();
             for (StandIn one : all) {
                 long id = at.size() + 1;
                 at.put(id, one.socketAddress());
-                members.add(new Router.Member(id, Router.State.READY, 0, 0, 0, 1, 0));
+                members.add(new Endpoint(id, EndpointState.READY, 0, 0, 0, 1, 0));
             }
             client.hear(new EngineList(1, true, members, at));
             post(pool, lives.socketAddress());
@@ -303,11 +305,11 @@
                 StandIn other = World.reader()) {
             Pool pool = pool(30_000).unsettled();
             EngineClient client = new EngineClient(pool);
-            Router.Member one = new Router.Member(1, Router.State.READY, 0, 0, 0, 1, 0);
+            Endpoint one = new Endpoint(1, EndpointState.READY, 0, 0, 0, 1, 0);
             client.hear(new EngineList(
                     1,
                     true,
-                    List.of(one, new Router.Member(2, Router.State.READY, 0, 0, 0, 1, 0)),
+                    List.of(one, new Endpoint(2, EndpointState.READY, 0, 0, 0, 1, 0)),
                     Map.of(1L, own.socketAddress(), 2L, other.socketAddress())));
             post(pool, own.socketAddress());
             loop.execute(() -> {
@@ -331,7 +333,7 @@
             client.hear(new EngineList(
                     1,
                     true,
-                    List.of(new Router.Member(1, Router.State.READY, 0, 0, 0, 1, 0)),
+                    List.of(new Endpoint(1, EndpointState.READY, 0, 0, 0, 1, 0)),
                     Map.of(1L, server.socketAddress())));
             HttpCargo cargo = new HttpCargo(Methods.POST, "/", List.of(), new byte[2]);
             Ask ask = new Ask("a1", 0, 0, 0, 1, 0, 0, 5_000, 1, 0, false, 2, cargo);
@@ -361,7 +363,7 @@
         public void unfit() {}
 
         @Override
-        public void ended(Router.Outcome outcome, double kept) {}
+        public void ended(AttemptOutcome outcome, double kept) {}
     }
 
     /** A long day replaces engines all the time. */
@@ -370,8 +372,8 @@
         try (StandIn at = new StandIn(x -> {})) {
             EngineClient client = new EngineClient(pool(30_000));
             for (long id = 1; id <= 5_000; id++) {
-                Router.Member came = new Router.Member(id, Router.State.READY, 0, 0, 0, 1, 0);
-                Router.Member gone = new Router.Member(id - 1, Router.State.GONE, 0, 0, 0, 1, 0);
+                Endpoint came = new Endpoint(id, EndpointState.READY, 0, 0, 0, 1, 0);
+                Endpoint gone = new Endpoint(id - 1, EndpointState.REMOVED, 0, 0, 0, 1, 0);
                 client.hear(new EngineList(
                         id,
                         id % 10 == 0,
--- a/src/test/java/maplerail/PlacementTest.java
+++ b/src/test/java/maplerail/routing/d2lpm/PlacementTest.java
@@ -1,4 +1,4 @@
-package maplerail;
+package maplerail.routing.d2lpm;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,13 +9,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import maplerail.Router.Arrival;
-import maplerail.Router.Kind;
-import maplerail.Router.Member;
-import maplerail.Router.Outcome;
-import maplerail.Router.Role;
-import maplerail.Router.Send;
-import maplerail.Router.State;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EngineRole;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction.StartAttempt;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingEvent.RequestArrived;
+import maplerail.routing.RoutingSettings.EngineKind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -33,32 +35,41 @@
                     random.nextDouble(100, 2_000));
         }
 
-        Node process(long seed, long without) {
-            Node node = new Node();
-            node.seed = seed;
-            node.routers = processes;
-            node.kinds = List.of(new Kind(Role.READ, memory), new Kind(Role.WRITE, memory));
-            List<Member> members = new ArrayList<>();
+        PolicyHarness process(long seed, long without) {
+            PolicyHarness gateway = new PolicyHarness();
+            gateway.seed = seed;
+            gateway.gatewayCount = processes;
+            gateway.kinds =
+                    List.of(new EngineKind(EngineRole.READER, memory), new EngineKind(EngineRole.WRITER, memory));
+            List<Endpoint> members = new ArrayList<>();
             for (long i = 0; i < readers; i++)
                 if (1_000 + 7 * i != without) members.add(member(1_000 + 7 * i, 0, (int) i % 3));
             for (long i = 0; i < 6; i++) members.add(member(9_000 + i, 1, (int) i % 3));
-            return node.start(members.toArray(Member[]::new));
+            return gateway.start(members.toArray(Endpoint[]::new));
         }
 
-        private static Member member(long engine, int kind, int zone) {
-            return new Member(engine, State.READY, 0, zone, zone, 1, kind);
+        private static Endpoint member(long engine, int kind, int zone) {
+            return new Endpoint(engine, EndpointState.READY, 0, zone, zone, 1, kind);
         }
 
         /** The reader that a process sends a request with a text to; the request is served. */
-        long reader(Node node, long id, long text) {
-            node.now += 40;
-            node.on(new Arrival(id, 0, 0, node.seed * 7_919 + id, shared + fresh, text, shared, 60_000, 100, 0, false));
-            Send read = node.sent();
+        long reader(PolicyHarness gateway, long id, long text) {
+            gateway.nowMs += 40;
+            gateway.on(new RequestArrived(
+                    id, 0, 0, gateway.seed * 7_919 + id, shared + fresh, text, shared, 60_000, 100, 0, false));
+            StartAttempt read = gateway.sent();
             assertThat(read).as("sent").isNotNull();
-            node.on(new Router.Ended(
-                    id, 0, read.engine(), Outcome.READ, 0.08 * fresh, shared, false, new Router.Load(Double.NaN)));
-            node.first(id, 1);
-            node.end(id, 1, Outcome.SERVED);
+            gateway.on(new RoutingEvent.AttemptEnded(
+                    id,
+                    0,
+                    read.engine(),
+                    AttemptOutcome.PROMPT_READ,
+                    0.08 * fresh,
+                    shared,
+                    false,
+                    new LoadReport(Double.NaN)));
+            gateway.first(id, 1);
+            gateway.end(id, 1, AttemptOutcome.COMPLETED);
             return read.engine();
         }
     }
@@ -91,12 +102,12 @@
     @CsvSource({"first", "new", "1", "2", "3", "4"})
     void aPopularTextHasMoreReaders(String kind) {
         Site site = site(kind);
-        Node node = site.process(5, -1);
+        PolicyHarness gateway = site.process(5, -1);
         Set<Long> popular = new HashSet<>();
         Map<Long, Set<Long>> others = new HashMap<>();
         for (int i = 1; i <= 400; i++) {
             long text = i % 3 == 0 ? 1_000 + i % 30 : 42;
-            long reader = site.reader(node, i, text);
+            long reader = site.reader(gateway, i, text);
             if (text == 42) popular.add(reader);
             else others.computeIfAbsent(text, t -> new HashSet<>()).add(reader);
         }
--- a/src/test/java/maplerail/ColdFleetTest.java
+++ b/src/test/java/maplerail/routing/d2lpm/SlowStartFleetTest.java
@@ -1,4 +1,4 @@
-package maplerail;
+package maplerail.routing.d2lpm;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,17 +8,17 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
-import maplerail.Router.ListKind;
-import maplerail.Router.Member;
-import maplerail.Router.Outcome;
-import maplerail.Router.Rules;
-import maplerail.Router.Send;
-import maplerail.Router.State;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.Endpoint;
+import maplerail.routing.EndpointState;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.RoutingAction.StartAttempt;
+import maplerail.routing.RoutingSettings.Rules;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a fleet of seeded processes sends in sum to a writer that has just started, against what the rule allows. */
-class ColdFleetTest {
+class SlowStartFleetTest {
     private static final double WARM_MS = 14_000;
     private static final double WINDOW_MS = 1_000; // of the rule
     private static final double MULTIPLE = 2.5; // of its capacity, from which it tips
@@ -40,34 +40,34 @@
         FAILOVER
     }
 
-    private record Stream(Node node, long id, double endMs) {}
+    private record Stream(PolicyHarness gateway, long id, double endMs) {}
 
-    private static Member newcomer(Story story) {
-        return new Member(NEWCOMER, State.READY, BORN_MS, story == Story.FAILOVER ? 1 : 0, 0, 1, 1);
+    private static Endpoint newcomer(Story story) {
+        return new Endpoint(NEWCOMER, EndpointState.READY, BORN_MS, story == Story.FAILOVER ? 1 : 0, 0, 1, 1);
     }
 
-    private static Node process(Story story, int processes, long seed, double now, boolean told) {
-        Node node = new Node();
-        node.seed = seed;
-        node.routers = processes;
-        node.rules = new Rules(8, 500, LEAST, MULTIPLE, WINDOW_MS, WARM_MS, 10_000);
-        node.now = now;
-        List<Member> members = new ArrayList<>(List.of(Node.reader(1), Node.reader(2)));
-        for (int i = 0; i < WARM; i++) members.add(Node.writer(10 + i));
+    private static PolicyHarness process(Story story, int processes, long seed, double now, boolean told) {
+        PolicyHarness gateway = new PolicyHarness();
+        gateway.seed = seed;
+        gateway.gatewayCount = processes;
+        gateway.rules = new Rules(8, 500, LEAST, MULTIPLE, WINDOW_MS, WARM_MS, 10_000);
+        gateway.nowMs = now;
+        List<Endpoint> members = new ArrayList<>(List.of(PolicyHarness.reader(1), PolicyHarness.reader(2)));
+        for (int i = 0; i < WARM; i++) members.add(PolicyHarness.writer(10 + i));
         if (told) members.add(newcomer(story));
-        return node.start(members.toArray(Member[]::new));
+        return gateway.start(members.toArray(Endpoint[]::new));
     }
 
     /** When each send to the newcomer was made. */
     private static List<Double> sends(Story story, int processes, double perSecond, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Node[] nodes = new Node[processes];
+        PolicyHarness[] gateways = new PolicyHarness[processes];
         double[] tellMs = new double[processes];
         double[] restartMs = new double[processes];
         double[] weights = new double[processes];
         double sum = 0;
         for (int i = 0; i < processes; i++) {
-            nodes[i] = process(story, processes, random.nextLong(), BORN_MS - 12_000, false);
+            gateways[i] = process(story, processes, random.nextLong(), BORN_MS - 12_000, false);
             tellMs[i] = BORN_MS + (story == Story.LATE ? 3_000 * random.nextDouble() : 0);
             restartMs[i] = story == Story.RESTART ? BORN_MS + 500 * (10 * i / processes) : Double.POSITIVE_INFINITY;
             sum += weights[i] = -Math.log(random.nextDouble()); // some get several times the mean
@@ -82,41 +82,41 @@
             if (lull) now = Math.max(now, BORN_MS + LULL_MS);
             while (!streams.isEmpty() && streams.peek().endMs() <= now) {
                 Stream over = streams.poll();
-                over.node().now = over.endMs();
-                over.node().end(over.id(), 1, Outcome.SERVED);
+                over.gateway().nowMs = over.endMs();
+                over.gateway().end(over.id(), 1, AttemptOutcome.COMPLETED);
             }
             for (int i = 0; i < processes; i++) {
                 if (now >= tellMs[i]) {
-                    nodes[i].now = tellMs[i];
-                    nodes[i].list(ListKind.CHANGES, newcomer(story));
+                    gateways[i].nowMs = tellMs[i];
+                    gateways[i].list(EndpointUpdateKind.DELTA, newcomer(story));
                     tellMs[i] = Double.POSITIVE_INFINITY;
                 }
                 if (now < restartMs[i]) continue;
-                nodes[i] = process(story, processes, random.nextLong(), restartMs[i], true);
+                gateways[i] = process(story, processes, random.nextLong(), restartMs[i], true);
                 restartMs[i] = Double.POSITIVE_INFINITY;
             }
             if (story == Story.FAILOVER && !drained && now >= BORN_MS + LULL_MS) {
                 drained = true;
-                for (Node node : nodes) {
-                    node.now = now;
-                    node.list(
-                            ListKind.CHANGES,
+                for (PolicyHarness gateway : gateways) {
+                    gateway.nowMs = now;
+                    gateway.list(
+                            EndpointUpdateKind.DELTA,
                             IntStream.range(0, 3 * WARM / 4)
-                                    .mapToObj(i -> new Member(10 + i, State.DRAINING, 0, 0, 0, 1, 1))
-                                    .toArray(Member[]::new));
+                                    .mapToObj(i -> new Endpoint(10 + i, EndpointState.DRAINING, 0, 0, 0, 1, 1))
+                                    .toArray(Endpoint[]::new));
                 }
             }
             int at = 0;
             for (double left = sum * random.nextDouble(); at < processes - 1 && (left -= weights[at]) > 0; ) at++;
-            Node node = nodes[at];
-            node.now = now;
-            node.arrive(++id, id, 0, 300, 5_000);
-            node.end(id, 0, Outcome.READ);
-            Send write = node.sent();
+            PolicyHarness gateway = gateways[at];
+            gateway.nowMs = now;
+            gateway.arrive(++id, id, 0, 300, 5_000);
+            gateway.end(id, 0, AttemptOutcome.PROMPT_READ);
+            StartAttempt write = gateway.sent();
             if (write == null) continue;
             if (write.engine() == NEWCOMER) out.add(now);
-            node.first(id, 1);
-            streams.add(new Stream(node, id, now + STREAM_MS));
+            gateway.first(id, 1);
+            streams.add(new Stream(gateway, id, now + STREAM_MS));
         }
         return out;
     }
--- a/src/test/java/maplerail/sim/CodecTest.java
+++ b/src/test/java/maplerail/sim/CodecTest.java
@@ -16,8 +16,14 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.function.Consumer;
-import maplerail.Router;
 import maplerail.config.SettingsReader;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.EngineRole;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
 import org.junit.jupiter.api.Test;
 
 class CodecTest {
@@ -180,11 +186,12 @@
         long engine = 0x01020304L << 16 | 5;
         assertEquals(500, batch.clockMs);
         assertEquals(
-                new Router.Ended(9, 2, engine, Router.Outcome.STATE_GONE, 18, 1, true, new Router.Load(0.25f)),
+                new RoutingEvent.AttemptEnded(
+                        9, 2, engine, AttemptOutcome.STATE_LOST, 18, 1, true, new LoadReport(0.25f)),
                 batch.event(0, 1));
-        assertEquals(new Router.FirstToken(9, 2, engine, 18), batch.event(1, -1));
-        assertEquals(new Router.Abandoned(9), batch.event(2, -1));
-        assertEquals(new Router.Timer(-1), batch.event(3, -1));
+        assertEquals(new RoutingEvent.FirstToken(9, 2, engine, 18), batch.event(1, -1));
+        assertEquals(new RoutingEvent.RequestAbandoned(9), batch.event(2, -1));
+        assertEquals(new RoutingEvent.TimerFired(-1), batch.event(3, -1));
         assertNull(batch.event(4, -1));
         assertNull(batch.event(5, -1));
         assertNull(batch.event(6, -1));
@@ -194,15 +201,15 @@
     void everyActionIsWritten() {
         long engine = 0x01020304L << 16 | 5;
         Codec.Reply reply = new Codec.Reply();
-        reply.action(new Router.Send(1, engine, 2));
-        reply.action(new Router.Cancel(1, 2));
-        reply.action(new Router.Release(1));
-        reply.action(new Router.Refuse(1, 2));
-        reply.action(new Router.Fail(1));
-        reply.action(new Router.SetTimer(1, 2));
-        reply.action(new Router.Subscribe());
-        reply.action(new Router.FetchList());
-        reply.action(new Router.Log("hi"));
+        reply.action(new RoutingAction.StartAttempt(1, engine, 2));
+        reply.action(new RoutingAction.CancelAttempt(1, 2));
+        reply.action(new RoutingAction.ReleaseState(1));
+        reply.action(new RoutingAction.RejectRequest(1, 2));
+        reply.action(new RoutingAction.FailRequest(1));
+        reply.action(new RoutingAction.SetTimer(1, 2));
+        reply.action(new RoutingAction.SubscribeEndpoints());
+        reply.action(new RoutingAction.FetchEndpoints());
+        reply.action(new RoutingAction.LogMessage("hi"));
         ByteBuffer bytes = ByteBuffer.wrap(reply.bytes()).order(ByteOrder.LITTLE_ENDIAN);
         int[] codes = {1060, 1090, 1100, 1050, 1130, 1070, 1120, 1150, 1110};
         assertEquals(9, bytes.getInt(4));
@@ -262,9 +269,11 @@
 
     @Test
     void settingsAreReadInTheLibrarysTerms() {
-        Router.Settings settings = SettingsReader.read(1, SETTINGS).settings();
-        assertEquals(1, settings.overShareWorth());
-        assertEquals(new Router.Kind(Router.Role.WRITE, 2000), settings.kinds().get(1));
+        RoutingSettings settings = SettingsReader.read(1, SETTINGS).settings();
+        assertEquals(1, settings.overQuotaWeight());
+        assertEquals(
+                new RoutingSettings.EngineKind(EngineRole.WRITER, 2000),
+                settings.engineKinds().get(1));
         assertEquals(5, settings.limits().maxAttempts());
         assertEquals(-1, SettingsReader.read(1, SETTINGS).memoryColumn());
     }
@@ -272,7 +281,7 @@
     @Test
     void aFaultOfTheModuleIsReportedOnTheWire() {
         byte[] frame = new Frame().launch(SETTINGS).list().request(77).bytes();
-        Router broken = (now, events) -> {
+        RoutingPolicy broken = (now, events) -> {
             throw new IllegalStateException("oops");
         };
         ByteArrayOutputStream out = new ByteArrayOutputStream();
