--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -21,13 +21,13 @@
 import maplerail.config.EngineList;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Admit;
+import maplerail.core.AdmissionLimits;
+import maplerail.core.AdmissionStage;
+import maplerail.core.AttemptListener;
 import maplerail.core.Broker;
-import maplerail.core.Budgets;
 import maplerail.core.DecisionLog;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.core.Witness;
 import maplerail.discovery.PlatformWatch;
 import maplerail.fleet.Exchange;
 import maplerail.fleet.Membership;
@@ -116,7 +116,7 @@
     private final XnioWorker worker;
     private final XnioLoop loop;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, 512, 0);
-    private final Admit admit;
+    private final AdmissionStage admit;
     private final Pool pool;
     private final Pool lists;
     private final Broker broker;
@@ -185,8 +185,10 @@
                 .unsettled();
         engines = new EngineClient(pool);
         RoutingSettings settings = config.settings();
-        admit = new Admit(
-                Budgets.open(config.wire().maxOpen()), loop, new SplittableRandom(settings.seed() ^ ADVICE_DRAWS));
+        admit = new AdmissionStage(
+                AdmissionLimits.ofOpenRequests(config.wire().maxOpen()),
+                loop,
+                new SplittableRandom(settings.seed() ^ ADVICE_DRAWS));
         broker = new Broker(
                 module(settings),
                 settings,
@@ -206,7 +208,7 @@
                 new SplittableRandom(settings.seed() ^ WATCH_DRAWS),
                 this::hear,
                 metrics::listRejected);
-        broker.freshen(watch::refresh);
+        broker.setEndpointRefresh(watch::refresh);
         pool.beforeUse(watch::refresh);
         tools = on
                 ? new ToolServices(toolsConfig, loop, buffers, settings.seed(), sockets * TOOLS_PERCENT / 100, metrics)
@@ -218,18 +220,18 @@
                 ? null
                 : new Exchange(peers.rank(), peers.members().size(), loop.nowMs());
         peerDraws = new SplittableRandom(settings.seed() ^ PEER_DRAWS);
-        if (exchange != null) broker.witness(new Told());
+        if (exchange != null) broker.setAttemptListener(new Told());
     }
 
     /** What this gateway tells the others is what its own attempts showed. */
-    private final class Told implements Witness {
+    private final class Told implements AttemptListener {
         @Override
-        public void read(long engine, double spentMs, double tokens) {
+        public void onPromptRead(long engine, double spentMs, double tokens) {
             exchange.read(engine, spentMs, tokens);
         }
 
         @Override
-        public void ended(long engine, AttemptOutcome outcome) {
+        public void onEnded(long engine, AttemptOutcome outcome) {
             boolean good = outcome == AttemptOutcome.PROMPT_READ || outcome == AttemptOutcome.COMPLETED;
             boolean failed = outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.RESET;
             if (outliers != null && (good || failed)) outliers.outcome(engine, good, loop.nowMs());
@@ -271,7 +273,7 @@
 
     /** Requests of which anything is still remembered, at either front. */
     public int remembered() {
-        return broker.remembered() + (tools == null ? 0 : tools.remembered());
+        return broker.openRequests() + (tools == null ? 0 : tools.remembered());
     }
 
     /** Where it listens, once it does. */
@@ -285,7 +287,7 @@
             EngineList known = config.known();
             if (known != null) {
                 engines.hear(known);
-                broker.members(view.hear(new RoutingEvent.EndpointUpdate(
+                broker.updateEndpoints(view.hear(new RoutingEvent.EndpointUpdate(
                         EndpointUpdateKind.REMEMBERED, known.version(), known.members())));
             }
             watch.start(known);
@@ -396,7 +398,7 @@
 
     private void hear(EngineList list) {
         engines.hear(list);
-        broker.members(view.hear(new RoutingEvent.EndpointUpdate(
+        broker.updateEndpoints(view.hear(new RoutingEvent.EndpointUpdate(
                 list.whole() ? EndpointUpdateKind.SNAPSHOT : EndpointUpdateKind.DELTA,
                 list.version(),
                 list.members())));
@@ -408,7 +410,7 @@
 
     private synchronized void ready() {
         told = true;
-        if (lifecycle.phase() == Phase.STARTING) lifecycle.move(Phase.READY);
+        if (lifecycle.phase() == Phase.STARTING) lifecycle.moveTo(Phase.READY);
     }
 
     /**
@@ -420,10 +422,10 @@
             config = news;
             RoutingSettings settings = news.settings();
             NodeConfig.Wire wire = news.wire();
-            admit.retune(Budgets.open(wire.maxOpen()));
+            admit.changeLimits(AdmissionLimits.ofOpenRequests(wire.maxOpen()));
             pool.retune(wire.connIdleMs(), wire.connectTimeoutMs());
             lists.retune(wire.connIdleMs(), wire.connectTimeoutMs());
-            broker.retune(shared(settings), news.names().classes());
+            broker.changeSettings(shared(settings), news.names().classes());
             front.retune(news.names());
             if (rpc != null) rpc.retune(news.names());
             watch.move(news.discovery());
@@ -453,7 +455,7 @@
     /** What this process knows is for the one that has the same listening socket and serves on. */
     private void handOver() {
         if (handover == null) return;
-        Notes notes = new Notes(loop.nowMs(), broker.learned());
+        Notes notes = new Notes(loop.nowMs(), broker.cachedPrefixes());
         worker.execute(() -> handover.leave(notes.text()));
     }
 
@@ -468,7 +470,7 @@
                 LOG.info(
                         "{} places where prompts are kept were handed over",
                         notes.held().size());
-                loop.execute(() -> broker.learn(notes.held()));
+                loop.execute(() -> broker.restoreCachedPrefixes(notes.held()));
             } else if (loop.nowMs() < untilMs) {
                 loop.at(loop.nowMs() + TAKE_OVER_LOOK_MS, () -> takeOver(untilMs));
             }
@@ -524,7 +526,7 @@
             outliers.hear(rank, bytes, length, loop.nowMs());
         } else {
             long before = exchange.heard();
-            broker.seen(exchange.hear(rank, bytes, length));
+            broker.reportPeerReads(exchange.hear(rank, bytes, length));
             if (exchange.heard() > before && membership != null)
                 membership.heard(rank, exchange.incarnation(rank), loop.nowMs());
         }
@@ -550,7 +552,7 @@
                         Long.toHexString(one.engine()),
                         one.state() == EndpointState.READY ? "used again" : "held, as it failed several gateways");
             }
-            broker.members(news);
+            broker.updateEndpoints(news);
         }
         long[] totals = outliers.totals();
         metrics.outliers(outliers.held(), totals[0], totals[1], dropped(outliers.dropped()));
@@ -574,7 +576,7 @@
         if (alive == live || loop.nowMs() < shiftedMs + SHIFT_MS) return;
         shiftedMs = loop.nowMs();
         live = alive;
-        broker.retune(shared(config.settings()), config.names().classes());
+        broker.changeSettings(shared(config.settings()), config.names().classes());
         LOG.debug(
                 "{} gateways of {} share the load",
                 alive,
@@ -608,7 +610,7 @@
 
     /** Guards against a reader that has to wait for the loop: it sees what the loop last put up. */
     private void publish() {
-        metrics.engines(broker.listed(), broker.avoided() + view.held());
+        metrics.engines(broker.listedEngines(), broker.ejectedEngines() + view.held());
         loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
     }
 
@@ -631,7 +633,7 @@
     public synchronized boolean lameDuck(boolean on) {
         if (leaving()) return false;
         if (on == (phase() == Phase.LAME_DUCK)) return true;
-        lifecycle.move(on ? Phase.LAME_DUCK : told ? Phase.READY : Phase.STARTING);
+        lifecycle.moveTo(on ? Phase.LAME_DUCK : told ? Phase.READY : Phase.STARTING);
         LOG.info(on ? "clients are sent away" : "clients may come again");
         if (on) loop.execute(() -> loop.at(loop.nowMs() + AWAY_MS, this::sendAway));
         return true;
@@ -648,7 +650,7 @@
     public void drain() {
         loop.execute(() -> {
             if (!leave()) return;
-            LOG.info("told to stop: {} requests are open", broker.unanswered());
+            LOG.info("told to stop: {} requests are open", broker.unansweredRequests());
             if (!serving) {
                 end();
                 return;
@@ -660,7 +662,7 @@
             peerLink = null;
             // Guards against a request that comes on a kept connection just before the end, and would be cut off by it.
             handOver();
-            broker.endBy(loop.nowMs() + forceMs() - LAST_MS);
+            broker.limitDeadlines(loop.nowMs() + forceMs() - LAST_MS);
             loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
             double endMs = loop.nowMs() + forceMs();
             if (streams != null) streams.handOn(endMs - LEFT_MS);
@@ -670,7 +672,7 @@
 
     private synchronized boolean leave() {
         if (leaving()) return false;
-        lifecycle.move(Phase.DRAINING);
+        lifecycle.moveTo(Phase.DRAINING);
         return true;
     }
 
@@ -680,7 +682,7 @@
      * at a time, as that one may just have started.
      */
     private void leaveStreams(int steps) {
-        broker.breakOff(1.0 / steps);
+        broker.breakOffStreams(1.0 / steps);
         if (steps > 1) loop.at(loop.nowMs() + LEAVE_STEP_MS, () -> leaveStreams(steps - 1));
     }
 
@@ -705,7 +707,7 @@
         if (turnstiles.get(0).waiting() > 0
                 || doors.get(0).busy() > 0
                 || remembered() > 0
-                || broker.lettingGo() > 0
+                || broker.pendingReleases() > 0
                 || engines.releasing() > 0
                 || streams != null && streams.onTheirWay() > 0
                 || rpc != null && rpc.openRequests() > 0) {
@@ -718,7 +720,7 @@
 
     private void end() {
         LOG.info("all is done{}", streams == null ? "" : ": " + streams);
-        lifecycle.move(Phase.STOPPED);
+        lifecycle.moveTo(Phase.STOPPED);
         opened.complete(null);
         stopped.countDown();
     }
--- a/src/main/java/maplerail/cli/Streams.java
+++ b/src/main/java/maplerail/cli/Streams.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import maplerail.core.Broker;
+import maplerail.core.DetachedStream;
 import maplerail.front.Door;
 import maplerail.front.platform.ContinuedAnswer;
 import maplerail.metrics.Metrics;
@@ -112,7 +113,7 @@
     }
 
     private boolean inherit(Parcel parcel, SocketChannel client, SocketChannel engine) {
-        if (leaving || broker.inherited() >= most) return false;
+        if (leaving || broker.adoptedStreams() >= most) return false;
         StreamConnection from;
         StreamConnection to;
         try {
@@ -123,7 +124,7 @@
             return false;
         }
         ContinuedAnswer answer = new ContinuedAnswer(to, parcel.closes(), door::resume);
-        answer.hold(broker.inherit(
+        answer.hold(broker.adoptStream(
                 parcel.kind(), parcel.id(), answer, STALL_MS, events -> engines.adopt(parcel.engine(), from, events)));
         metrics.streams(++takenOver, handedOn);
         LOG.debug("{}: taken over", parcel.id());
@@ -160,23 +161,25 @@
             worker.execute(() -> IoUtils.safeClose(to));
             return;
         }
-        List<Broker.Moving> batch = broker.yieldStreams(BATCH);
+        List<DetachedStream> batch = broker.detachStreams(BATCH);
         if (batch.isEmpty()) {
             loop.at(loop.nowMs() + PAUSE_MS, () -> pass(to, untilMs));
             return;
         }
-        for (Broker.Moving one : batch) {
-            door.forget(connection(one.client()));
-            AdoptedSocket.release(connection(one.client()));
-            AdoptedSocket.release(connection(one.engine()));
+        for (DetachedStream one : batch) {
+            door.forget(connection(one.clientConnection()));
+            AdoptedSocket.release(connection(one.clientConnection()));
+            AdoptedSocket.release(connection(one.engineConnection()));
         }
         onTheirWay += batch.size();
         worker.execute(() -> {
-            List<Broker.Moving> lost = new ArrayList<>();
+            List<DetachedStream> lost = new ArrayList<>();
             boolean works = true;
-            for (Broker.Moving one : batch) {
+            for (DetachedStream one : batch) {
                 try {
-                    if (!works || !to.send(parcel(one), channel(one.client()), channel(one.engine()))) lost.add(one);
+                    if (!works
+                            || !to.send(parcel(one), channel(one.clientConnection()), channel(one.engineConnection())))
+                        lost.add(one);
                 } catch (IOException e) {
                     LOG.warn("streams are no longer handed on: {}", e.toString());
                     works = false;
@@ -189,7 +192,8 @@
                 handedOn += batch.size() - lost.size();
                 metrics.streams(takenOver, handedOn);
                 // Whoever may have them, their clients ask for the rest: better twice begun than never ended.
-                for (Broker.Moving one : lost) IoUtils.safeClose(connection(one.client()), connection(one.engine()));
+                for (DetachedStream one : lost)
+                    IoUtils.safeClose(connection(one.clientConnection()), connection(one.engineConnection()));
                 if (!lost.isEmpty()) LOG.info("{} streams could not be handed on and are broken off", lost.size());
                 if (goesOn) loop.at(loop.nowMs() + PAUSE_MS, () -> pass(to, untilMs));
                 else reached = false;
@@ -207,14 +211,14 @@
         return channel;
     }
 
-    private static Parcel parcel(Broker.Moving one) throws IOException {
-        ContinuedAnswer.Held client = (ContinuedAnswer.Held) one.client();
+    private static Parcel parcel(DetachedStream one) throws IOException {
+        ContinuedAnswer.Held client = (ContinuedAnswer.Held) one.clientConnection();
         return new Parcel(
-                one.kind(),
-                one.id(),
+                one.requestClass(),
+                one.requestId(),
                 client.closes(),
                 (InetSocketAddress) channel(client).getRemoteAddress(),
-                ((Call.Held) one.engine()).to());
+                ((Call.Held) one.engineConnection()).to());
     }
 
     /** True once there is a process that takes streams. */
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/cli/ToolServices.java
@@ -9,7 +9,7 @@
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Admit;
+import maplerail.core.AdmissionStage;
 import maplerail.core.Broker;
 import maplerail.discovery.ConsulWatch;
 import maplerail.metrics.Metrics;
@@ -53,7 +53,7 @@
         this.seed = seed;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         RoutingSettings settings = config.settings(seed);
-        Admit admit = new Admit(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
+        AdmissionStage admit = new AdmissionStage(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
@@ -111,10 +111,11 @@
     private void hear(String service, EngineList list) {
         clients.get(service).addresses(list.addresses());
         brokers.get(service)
-                .members(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, list.version(), list.members()));
+                .updateEndpoints(
+                        new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, list.version(), list.members()));
     }
 
     int remembered() {
-        return brokers.values().stream().mapToInt(Broker::remembered).sum();
+        return brokers.values().stream().mapToInt(Broker::openRequests).sum();
     }
 }
--- a/src/main/java/maplerail/config/ToolsConfig.java
+++ b/src/main/java/maplerail/config/ToolsConfig.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
-import maplerail.core.Budgets;
+import maplerail.core.AdmissionLimits;
 import maplerail.routing.EngineRole;
 import maplerail.routing.Idempotency;
 import maplerail.routing.IdempotencyScope;
@@ -45,7 +45,7 @@
     public record Tool(String service, int contract) {}
 
     /** A team, and what it may spend. */
-    public record Team(String name, Budgets.Budget budget) {}
+    public record Team(String name, AdmissionLimits.Budget budget) {}
 
     /** Reads the file's text. */
     public static ToolsConfig read(String text) {
@@ -71,7 +71,7 @@
         List<Team> teams = new ArrayList<>();
         for (String name : needKeys(root, "teams")) {
             Tree team = root.at("teams").at(name);
-            teams.add(new Team(name, new Budgets.Budget(above(team.need("calls_per_s"), 1e6), (int)
+            teams.add(new Team(name, new AdmissionLimits.Budget(above(team.need("calls_per_s"), 1e6), (int)
                     above(team.need("calls_in_flight"), 10_000))));
         }
         return new ToolsConfig(
@@ -138,11 +138,11 @@
     }
 
     /** What callers may ask for. */
-    public Budgets budgets(int maxOpen) {
-        return new Budgets(
+    public AdmissionLimits budgets(int maxOpen) {
+        return new AdmissionLimits(
                 maxOpen,
                 contracts.stream()
-                        .map(c -> new Budgets.Contract(c.mostArgument()))
+                        .map(c -> new AdmissionLimits.Contract(c.mostArgument()))
                         .toList(),
                 teams.stream().map(Team::budget).toList());
     }
--- /dev/null
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -0,0 +1,37 @@
+package maplerail.core;
+
+/** One attempt of a request at an engine. */
+final class Attempt {
+    final RequestRecord record;
+    final int number;
+    final long engine;
+    final boolean readsPrompt;
+    final double sentMs;
+    /** Null until it has been handed to the transport. */
+    AttemptHandle handle;
+    /** Of its deadline or, once its answer streams, of the stall timeout. */
+    EventLoop.Timer timeout;
+
+    double lastEventMs;
+    boolean paused;
+    boolean ended;
+    /** It ended, and may have been executed. */
+    boolean maybeExecuted;
+
+    Attempt(RequestRecord record, long engine, boolean readsPrompt, double sentMs) {
+        this.record = record;
+        this.number = record.attempts.size();
+        this.engine = engine;
+        this.readsPrompt = readsPrompt;
+        this.sentMs = sentMs;
+    }
+
+    boolean isInFlight() {
+        return !ended;
+    }
+
+    /** True if it is in flight and not a byte of it has been sent. */
+    boolean isUnsent() {
+        return !ended && handle != null && handle.isUnsent();
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -0,0 +1,319 @@
+package maplerail.core;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Verdict;
+import maplerail.routing.AttemptOutcome;
+import maplerail.routing.LoadReport;
+import maplerail.routing.RoutingAction.CancelAttempt;
+import maplerail.routing.RoutingAction.StartAttempt;
+import maplerail.routing.RoutingEvent;
+
+/** Fourth stage: makes the attempts that the policy asks for, ends them, and reports how each one ended. */
+final class AttemptDispatcher {
+    /** Sockets allow 300 ms beyond the settings' limit for reservations; the rest is left to the release itself. */
+    private static final double RESERVATION_SLACK_MS = 180;
+
+    private final EngineTransport transport;
+    private final EventLoop loop;
+    private final EngineDirectory directory;
+    private final RequestRegistry registry;
+    private final StateReleaser releaser;
+    private final ResponseRelay relay;
+    private final Metrics metrics;
+    private final Set<RequestRecord> unsettled = new LinkedHashSet<>();
+    private RoutingStage routing;
+    private AttemptListener listener = AttemptListener.NONE;
+    private Runnable refreshEndpoints = () -> {};
+
+    AttemptDispatcher(
+            EngineTransport transport,
+            EventLoop loop,
+            EngineDirectory directory,
+            RequestRegistry registry,
+            StateReleaser releaser,
+            ResponseRelay relay,
+            Metrics metrics) {
+        this.transport = transport;
+        this.loop = loop;
+        this.directory = directory;
+        this.registry = registry;
+        this.releaser = releaser;
+        this.relay = relay;
+        this.metrics = metrics;
+    }
+
+    /** Sets where events are reported; to be called once, before any other method. */
+    void connect(RoutingStage stage) {
+        routing = stage;
+    }
+
+    /** Sets what takes in endpoint updates that have arrived; it is run before each attempt. */
+    void setEndpointRefresh(Runnable refresh) {
+        refreshEndpoints = refresh;
+    }
+
+    void setListener(AttemptListener newListener) {
+        listener = newListener;
+    }
+
+    void start(StartAttempt order) {
+        // A loop that is behind may not have got to an update that forbids this attempt.
+        refreshEndpoints.run();
+        RequestRecord record = registry.find(order.requestId());
+        if (record == null) return;
+        checkClient(record);
+        boolean readsPrompt = directory.isReader(order.engine());
+        Attempt attempt = new Attempt(record, order.engine(), readsPrompt, loop.nowMs());
+        record.attempts.add(attempt);
+        double deadlineMs =
+                order.deadlineMs() > 0 ? Math.min(order.deadlineMs(), record.deadlineMs) : record.deadlineMs;
+        if (!isAllowed(attempt, deadlineMs)) {
+            end(attempt, AttemptOutcome.NOT_SENT, 0);
+        } else if (record.reservationExpired && !readsPrompt) {
+            end(attempt, AttemptOutcome.STATE_LOST, 0);
+        } else {
+            attempt.timeout = loop.at(deadlineMs, () -> onDeadline(attempt));
+            attempt.handle = transport.send(order.engine(), record.request, deadlineMs, new Observer(attempt));
+        }
+    }
+
+    private boolean isAllowed(Attempt attempt, double deadlineMs) {
+        RequestRecord record = attempt.record;
+        return !record.answered
+                && deadlineMs > loop.nowMs()
+                && attempt.number < record.terms.maxAttempts()
+                && directory.isReady(attempt.engine);
+    }
+
+    /** Cancels an attempt, unless its stream is the client's already. */
+    void cancel(CancelAttempt order) {
+        RequestRecord record = registry.find(order.requestId());
+        if (record == null || order.attempt() >= record.attempts.size()) return;
+        Attempt attempt = record.attempts.get(order.attempt());
+        if (record.winner != attempt) abort(attempt, AttemptOutcome.CANCELLED);
+    }
+
+    /** Ends a request whose client has disconnected. */
+    void onClientDisconnected(RequestRecord record) {
+        if (registry.answer(record, Verdict.UNWANTED)) abandon(record);
+    }
+
+    /** Ends what is in flight for a request that has its final answer, or needs none. */
+    void abandon(RequestRecord record) {
+        abortAll(record);
+        routing.report(new RoutingEvent.RequestAbandoned(record.number));
+        registry.settle(record);
+    }
+
+    /** Takes in what has arrived by now for a request. */
+    void poll(RequestRecord record) {
+        List.copyOf(record.attempts).forEach(AttemptDispatcher::poll);
+    }
+
+    /** Ends the attempts of which nothing was sent yet, at engines that no longer take new work. */
+    void withdrawUnsent() {
+        for (RequestRecord record : registry.all()) {
+            // A copy, as the policy may answer an aborted attempt with another one of the same request.
+            for (Attempt attempt : List.copyOf(record.attempts)) {
+                if (attempt.isUnsent() && !directory.isReady(attempt.engine)) {
+                    abort(attempt, AttemptOutcome.UNREACHABLE);
+                }
+            }
+        }
+    }
+
+    /**
+     * Settles the requests of which an attempt ended. To be called once the policy has made its decisions, since it may send
+     * the same request to a reader whose state would be released here.
+     */
+    void settle() {
+        unsettled.forEach(registry::settle);
+        unsettled.clear();
+    }
+
+    /** The client may have disconnected without its connection's turn on the loop having come. */
+    private void checkClient(RequestRecord record) {
+        if (!record.answered && !record.observer.isConnected()) onClientDisconnected(record);
+    }
+
+    private void onEvent(Attempt attempt, byte[] event) {
+        RequestRecord record = attempt.record;
+        attempt.lastEventMs = loop.nowMs();
+        if (record.winner == null && !record.answered) beginStream(attempt);
+        if (record.winner == attempt) relay.onEvent(attempt, event);
+        else abort(attempt, AttemptOutcome.CANCELLED);
+    }
+
+    private void beginStream(Attempt attempt) {
+        RequestRecord record = attempt.record;
+        record.winner = attempt;
+        attempt.timeout.cancel();
+        watchForStall(attempt, record.request.payload().stallTimeoutMs());
+        record.deadlineTimer.cancel();
+        // The writer has taken the state; what a reader that was not told to stop holds later on has to be released.
+        record.possibleHolders.keySet().retainAll(record.brokenReaders);
+        record.confirmedHolders.clear();
+        double elapsedMs = loop.nowMs() - attempt.sentMs;
+        routing.report(new RoutingEvent.FirstToken(record.number, attempt.number, attempt.engine, elapsedMs));
+    }
+
+    /**
+     * Breaks a stream off whose engine has fallen silent. Its connection may stay open, and no deadline runs once a stream
+     * has begun: the client would wait for ever instead of asking for the rest elsewhere.
+     */
+    private void watchForStall(Attempt attempt, double afterMs) {
+        attempt.timeout = loop.at(loop.nowMs() + afterMs, () -> {
+            poll(attempt);
+            double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastEventMs;
+            double limitMs = attempt.record.request.payload().stallTimeoutMs();
+            if (silentMs >= limitMs) abort(attempt, AttemptOutcome.RESET);
+            else if (!attempt.ended) watchForStall(attempt, limitMs - silentMs);
+        });
+    }
+
+    /** Where the loop is behind, timers run before answers that arrived in time are read. */
+    private static void poll(Attempt attempt) {
+        if (!attempt.ended) attempt.handle.poll();
+    }
+
+    private void onDeadline(Attempt attempt) {
+        poll(attempt);
+        if (attempt.record.winner != attempt) abort(attempt, AttemptOutcome.TIMEOUT);
+    }
+
+    /** Fails a request that no engine can use: it would use up all its attempts, and each engine would seem to fail. */
+    private void onInvalidRequest(Attempt attempt) {
+        RequestRecord record = attempt.record;
+        boolean unanswered = registry.answer(record, Verdict.ERRORED);
+        end(attempt, AttemptOutcome.CANCELLED, 0);
+        if (!unanswered) return;
+        abortAll(record);
+        routing.report(new RoutingEvent.RequestAbandoned(record.number));
+        record.observer.onFailed(ResponseObserver.Reason.INVALID);
+    }
+
+    /** A state is held from now on, or again, as what was in flight for it has ended. */
+    private void startReservation(RequestRecord record) {
+        record.heldSinceMs = loop.nowMs();
+        loop.at(reservedUntilMs(record), () -> checkReservation(record));
+    }
+
+    private static double reservedUntilMs(RequestRecord record) {
+        return record.heldSinceMs + record.terms.reservationLimitMs() + RESERVATION_SLACK_MS;
+    }
+
+    /**
+     * Releases a state that has been held for too long, as a write takes it only once it has arrived, and one connection
+     * after another may fail to come up. The policy is told what a writer would say: the state is lost.
+     */
+    private void checkReservation(RequestRecord record) {
+        boolean held = !record.confirmedHolders.isEmpty() && !record.answered && record.winner == null;
+        if (!held || loop.nowMs() < reservedUntilMs(record)) return;
+        if (record.attempts.stream().anyMatch(a -> a.isInFlight() && !a.isUnsent())) return;
+        record.reservationExpired = true;
+        releaser.releaseConfirmed(record);
+        for (Attempt attempt : List.copyOf(record.attempts)) {
+            if (attempt.ended) continue;
+            attempt.handle.abort();
+            end(attempt, AttemptOutcome.STATE_LOST, 0);
+        }
+    }
+
+    private void abortAll(RequestRecord record) {
+        for (Attempt attempt : List.copyOf(record.attempts)) abort(attempt, AttemptOutcome.CANCELLED);
+    }
+
+    private void abort(Attempt attempt, AttemptOutcome outcome) {
+        if (attempt.ended) return;
+        boolean neverSent = attempt.isUnsent() && outcome == AttemptOutcome.CANCELLED;
+        attempt.handle.abort();
+        attempt.record.lastCancelMs = loop.nowMs();
+        end(attempt, neverSent ? AttemptOutcome.NOT_SENT : outcome, 0);
+    }
+
+    private void end(Attempt attempt, AttemptOutcome outcome, double cachedTokens) {
+        if (attempt.ended) return;
+        attempt.ended = true;
+        if (attempt.timeout != null) attempt.timeout.cancel();
+        attempt.maybeExecuted = !attempt.readsPrompt && !outcome.provesNoEffect();
+        RequestRecord record = attempt.record;
+        unsettled.add(record);
+        recordHolders(attempt, outcome);
+        // An answer may be complete without an event; it is the client's all the same.
+        boolean completed = outcome == AttemptOutcome.COMPLETED;
+        if (completed && record.winner == null && !record.answered) record.winner = attempt;
+        if (record.winner == attempt) relay.onEnded(attempt, outcome);
+        double elapsedMs = loop.nowMs() - attempt.sentMs;
+        if (outcome == AttemptOutcome.PROMPT_READ) {
+            double uncachedTokens = Math.max(0, record.request.promptTokens() - cachedTokens);
+            listener.onPromptRead(attempt.engine, elapsedMs, uncachedTokens);
+        }
+        routing.report(new RoutingEvent.AttemptEnded(
+                record.number,
+                attempt.number,
+                attempt.engine,
+                outcome,
+                elapsedMs,
+                cachedTokens,
+                record.answered,
+                LoadReport.NONE));
+    }
+
+    /** Notes where a state may be held after the end of an attempt. */
+    private void recordHolders(Attempt attempt, AttemptOutcome outcome) {
+        RequestRecord record = attempt.record;
+        boolean read = outcome == AttemptOutcome.PROMPT_READ;
+        boolean wasSent = outcome != AttemptOutcome.UNREACHABLE && outcome != AttemptOutcome.NOT_SENT;
+        if (read) {
+            record.confirmedHolders.add(attempt.engine);
+            record.reservationExpired = false;
+        }
+        if (read || wasSent && !record.confirmedHolders.isEmpty()) startReservation(record);
+        // A read that was cancelled may have been completed just then.
+        boolean mayBeRead = attempt.readsPrompt && !outcome.provesNoEffect();
+        if (read || mayBeRead) record.possibleHolders.put(attempt.engine, loop.nowMs());
+        boolean broken = outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.ERROR;
+        if (attempt.readsPrompt && broken) record.brokenReaders.add(attempt.engine);
+    }
+
+    private final class Observer implements AttemptObserver {
+        private final Attempt attempt;
+
+        Observer(Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public boolean isWanted() {
+            checkClient(attempt.record);
+            // Decided while engines dropped repeats, it may have waited for a connection until they no longer do.
+            if (attempt.record.isKeyExpiredFor(attempt, loop.nowMs())) abort(attempt, AttemptOutcome.CANCELLED);
+            return !attempt.ended;
+        }
+
+        @Override
+        public void onSent() {
+            metrics.sent();
+        }
+
+        @Override
+        public void onEvent(byte[] event) {
+            if (!attempt.ended) AttemptDispatcher.this.onEvent(attempt, event);
+        }
+
+        @Override
+        public void onInvalidRequest() {
+            if (!attempt.ended) AttemptDispatcher.this.onInvalidRequest(attempt);
+        }
+
+        @Override
+        public void onEnded(AttemptOutcome outcome, double cachedTokens) {
+            if (attempt.ended) return;
+            listener.onEnded(attempt.engine, outcome);
+            end(attempt, outcome, cachedTokens);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -0,0 +1,33 @@
+package maplerail.core;
+
+/** An attempt in flight. */
+public interface AttemptHandle {
+    /** True while not a byte of it has been sent. */
+    boolean isUnsent();
+
+    /** Cancels it: its observer is not called any more. */
+    void abort();
+
+    /** Takes in what has arrived of the answer, before the event loop gets to it. */
+    default void poll() {}
+
+    /** Stops reading the answer. */
+    void pause();
+
+    /** Reads the answer again. */
+    void resume();
+
+    /** True between two events of a streaming answer, when {@link #detachConnection} is possible. */
+    default boolean isBetweenEvents() {
+        return false;
+    }
+
+    /**
+     * Detaches the engine's connection, so that another process can continue the stream.
+     *
+     * @throws IllegalStateException unless {@link #isBetweenEvents}
+     */
+    default Object detachConnection() {
+        throw new IllegalStateException("a stream can be detached between two events only");
+    }
+}
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -1,292 +1,337 @@
 package maplerail.core;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import maplerail.core.Caller.Why;
+import maplerail.core.ResponseObserver.Reason;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
-import maplerail.routing.RoutingAction;
+import maplerail.routing.RoutingAction.CancelAttempt;
+import maplerail.routing.RoutingAction.FailRequest;
+import maplerail.routing.RoutingAction.Handler;
+import maplerail.routing.RoutingAction.LogMessage;
+import maplerail.routing.RoutingAction.RejectRequest;
+import maplerail.routing.RoutingAction.ReleaseState;
+import maplerail.routing.RoutingAction.SetTimer;
+import maplerail.routing.RoutingAction.StartAttempt;
 import maplerail.routing.RoutingEvent;
+import maplerail.routing.RoutingEvent.EndpointUpdate;
+import maplerail.routing.RoutingEvent.PeerRead;
+import maplerail.routing.RoutingEvent.PrefixCached;
 import maplerail.routing.RoutingPolicy;
 import maplerail.routing.RoutingSettings;
 
 /**
- * Drives one decision module on one event loop. A request passes the stages take in, admit, route, send,
- * relay and book; the broker knows requests, attempts and outcomes and no wire. All calls are made on the loop.
+ * Serves requests by the decisions of one routing policy. A request passes intake, admission, routing, dispatch, relay and
+ * registry. All calls are made on the event loop.
  */
 public final class Broker {
-    private static final double GUARD_MS = 4; // past a deadline; the module answers before it
-
-    private final Loop loop;
-    private final Fleet fleet;
-    private final Book book;
-    private final TakeIn takeIn;
-    private final Admit admit;
-    private final Route route;
-    private final Send send;
-    private final Relay relay;
-    private final Consumer<String> log;
+    /** How long after a deadline the broker itself answers; the policy does so before the deadline. */
+    private static final double DEADLINE_SLACK_MS = 4;
+
+    private final EventLoop loop;
+    private final EngineDirectory directory;
+    private final AdmissionStage admission;
+    private final StateReleaser releaser;
+    private final RequestRegistry registry;
+    private final RequestIntake intake;
+    private final RoutingStage routing;
+    private final AttemptDispatcher dispatcher;
+    private final ResponseRelay relay;
+    private final AdoptedStreams adoptedStreams;
     private final Metrics metrics;
-    private final Inherited inherited;
-    private Terms terms;
-    private double latestMs = Double.POSITIVE_INFINITY;
+    private final Consumer<String> log;
+    private RequestTerms terms;
+    private double latestDeadlineMs = Double.POSITIVE_INFINITY;
 
-    /** Makes a broker round a module that has just come up with these settings; its answers count under these names. */
+    /**
+     * Creates a broker without requests.
+     *
+     * @param policy a policy that was created from {@code settings}
+     * @param log receives the policy's log lines
+     * @param classNames the names under which the answers of each class are counted, by its index
+     */
     public Broker(
-            RoutingPolicy router,
+            RoutingPolicy policy,
             RoutingSettings settings,
-            Admit admit,
-            Loop loop,
-            Engines engines,
+            AdmissionStage admission,
+            EventLoop loop,
+            EngineTransport transport,
             Consumer<String> log,
             Metrics metrics,
-            List<String> classes) {
-        this.metrics = metrics;
-        terms = Terms.of(settings, classes, metrics);
+            List<String> classNames) {
         this.loop = loop;
+        this.admission = admission;
         this.log = log;
-        inherited = new Inherited(loop, metrics);
-        fleet = new Fleet(settings.engineKinds());
-        this.admit = admit;
-        book = new Book(engines, loop, admit, fleet, metrics);
-        takeIn = new TakeIn(loop, book);
-        relay = new Relay(book, loop);
-        send = new Send(engines, loop, fleet, book, relay, metrics);
-        route = new Route(router, loop, this::perform, send::settle, log);
-        send.use(route);
+        this.metrics = metrics;
+        terms = RequestTerms.of(settings, classNames, metrics);
+        adoptedStreams = new AdoptedStreams(loop, metrics);
+        directory = new EngineDirectory(settings.engineKinds());
+        releaser = new StateReleaser(transport, loop, directory);
+        registry = new RequestRegistry(admission, releaser, metrics);
+        intake = new RequestIntake(loop, registry);
+        relay = new ResponseRelay(registry, loop);
+        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, releaser, relay, metrics);
+        routing = new RoutingStage(policy, loop, new ActionHandler(), dispatcher::settle, log);
+        dispatcher.connect(routing);
     }
 
-    /** Takes a request; its caller gets its one final answer in any case. */
-    public Ticket take(Ask ask, Caller caller) {
-        Entry entry = takeIn.take(ask, caller, terms, latestMs);
-        if (entry == null) {
-            terms.tally(ask).count(Verdict.ERRORED);
-            caller.fail(Why.DUPLICATE);
-            return new Closed();
+    // ---- Requests ----
+
+    /** Takes a request; its observer gets exactly one final answer in any case. */
+    public RequestHandle take(InferenceRequest request, ResponseObserver observer) {
+        Optional<RequestRecord> opened = intake.open(request, observer, terms, latestDeadlineMs);
+        if (opened.isEmpty()) {
+            terms.of(request).tally().count(Verdict.ERRORED);
+            observer.onFailed(Reason.DUPLICATE);
+            return RequestHandle.CLOSED;
         }
-        Admit.Denied denied = admit.check(ask);
-        if (denied != null) {
-            book.answer(entry, denied.why() == Why.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
-            book.settle(entry);
-            caller.refuse(denied.why(), denied.retryAfterMs());
-            return new Closed();
+        RequestRecord record = opened.get();
+        Optional<AdmissionStage.Rejection> rejection = admission.admit(request);
+        if (rejection.isPresent()) {
+            reject(record, rejection.get());
+            return RequestHandle.CLOSED;
         }
-        entry.admitted = true;
-        entry.guard = loop.at(entry.deadlineMs + GUARD_MS, () -> overdue(entry));
-        route.tell(new RoutingEvent.RequestArrived(
-                entry.number,
-                ask.kind(),
-                ask.tenant(),
-                ask.session(),
-                ask.promptTokens(),
-                ask.prefix(),
-                ask.prefixTokens(),
-                entry.deadlineMs - loop.nowMs(),
-                ask.maxOutput(),
-                ask.hintMs(),
-                ask.resumed()));
-        return new Open(entry);
+        record.admitted = true;
+        record.deadlineTimer = loop.at(record.deadlineMs + DEADLINE_SLACK_MS, () -> onUnansweredDeadline(record));
+        routing.report(arrivalOf(record));
+        return new OpenRequest(record);
     }
 
-    /**
-     * Other settings, whole, for what is taken from now on; requests that are open keep the ones that they began under.
-     * The kinds of engines stay: the list has been read by them.
-     */
-    public void retune(RoutingSettings settings, List<String> classes) {
-        terms = Terms.of(settings, classes, metrics);
-        route.tell(new RoutingEvent.SettingsChanged(settings));
+    private void reject(RequestRecord record, AdmissionStage.Rejection rejection) {
+        registry.answer(record, rejection.reason() == Reason.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
+        registry.settle(record);
+        record.observer.onRejected(rejection.reason(), rejection.retryAfterMs());
     }
 
-    /** What is taken from now on has its answer begun by then, however long its client would wait: the program ends. */
-    public void endBy(double latest) {
-        latestMs = latest;
+    private RoutingEvent.RequestArrived arrivalOf(RequestRecord record) {
+        InferenceRequest request = record.request;
+        return new RoutingEvent.RequestArrived(
+                record.number,
+                request.requestClass(),
+                request.tenant(),
+                request.session(),
+                request.promptTokens(),
+                request.prefix(),
+                request.prefixTokens(),
+                record.deadlineMs - loop.nowMs(),
+                request.maxOutputTokens(),
+                request.expectedStreamMs(),
+                request.resumed());
     }
 
-    /** What the module knows that one which serves here next could use. */
-    public List<RoutingEvent.PrefixCached> learned() {
-        return route.learned();
+    /** The policy gave no answer in time: none may be late for want of one. */
+    private void onUnansweredDeadline(RequestRecord record) {
+        dispatcher.poll(record);
+        if (record.answered || record.winner != null) return;
+        log.accept("request not answered by its deadline request=" + record.number);
+        fail(record.number, Reason.DEADLINE);
+        dispatcher.abandon(record);
     }
 
-    /** What one that served here before knew. */
-    public void learn(List<RoutingEvent.PrefixCached> known) {
-        known.forEach(route::tell);
+    private void fail(long number, Reason reason) {
+        RequestRecord record = registry.find(number);
+        if (record == null || !registry.answer(record, Verdict.ERRORED)) return;
+        registry.settle(record);
+        record.observer.onFailed(reason);
     }
 
-    /** News of the engines; what has not gone out yet obeys it too. */
-    public void members(RoutingEvent.EndpointUpdate news) {
-        fleet.hear(news);
-        route.tell(news);
-        send.withdrawUnsent();
-    }
+    // ---- Settings and knowledge from outside ----
 
     /**
-     * Ends a share of the streams that run, the oldest first, for a program that has no time to finish them: their
-     * clients ask for the rest elsewhere. What has not begun to stream goes on.
+     * Sets other settings for requests from now on; open requests keep the ones that they were taken under. The kinds of
+     * engines stay, as the endpoint list was read by them.
      */
-    public void breakOff(double share) {
-        List<Entry> streams = book.all().stream()
-                .filter(e -> e.winner != null && !e.answered)
-                .sorted(Comparator.comparingLong(e -> e.number))
-                .toList();
-        for (Entry entry : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
-            send.poll(entry); // what its engine has finished is passed on to its end
-            if (!book.answer(entry, Verdict.ERRORED)) continue;
-            send.leave(entry);
-            entry.caller.broken();
-        }
-        inherited.breakOff(share);
+    public void changeSettings(RoutingSettings settings, List<String> classNames) {
+        terms = RequestTerms.of(settings, classNames, metrics);
+        routing.report(new RoutingEvent.SettingsChanged(settings));
     }
 
-    /** A stream between two events, on its way to another process: its class, its request's id, and its two connections. */
-    public record Moving(String kind, String id, Object client, Object engine) {}
+    /** Sets the latest deadline of requests from now on, however long their clients would wait: the process exits. */
+    public void limitDeadlines(double latestMs) {
+        latestDeadlineMs = latestMs;
+    }
 
-    /**
-     * Gives up at most so many of the running streams, the oldest first, so that another process goes on with them; those
-     * that are within an event, or whose client is behind, stay. They count nowhere here any more: whoever ends them does.
-     */
-    public List<Moving> yieldStreams(int most) {
-        List<Moving> out = new ArrayList<>(inherited.yieldStreams(most));
-        List<Entry> streams = book.all().stream()
-                .filter(e -> e.winner != null && !e.answered)
-                .sorted(Comparator.comparingLong(e -> e.number))
-                .toList();
-        for (Entry entry : streams) {
-            if (out.size() == most) break;
-            Entry.Try stream = entry.winner;
-            if (stream.ended || stream.paused || !stream.sending.between()) continue;
-            Object client = entry.caller.handOn();
-            if (client == null) continue;
-            Object engine = stream.sending.handOn();
-            send.gone(entry);
-            out.add(new Moving(entry.terms.name(entry.ask), entry.ask.id(), client, engine));
-        }
-        return out;
+    /** Applies an update of the endpoint list; attempts of which nothing was sent yet obey it too. */
+    public void updateEndpoints(EndpointUpdate update) {
+        directory.apply(update);
+        routing.report(update);
+        dispatcher.withdrawUnsent();
     }
 
-    /** Goes on with a stream that another process gave up; the events of {@code begin}'s answer are the caller's. */
-    public Ticket inherit(
-            String kind, String id, Caller caller, double stallMs, Function<Engines.Answer, Engines.Sending> begin) {
-        return inherited.take(kind, id, caller, stallMs, begin);
+    /** Sets what takes in endpoint updates that have arrived; it is run before each attempt. */
+    public void setEndpointRefresh(Runnable refresh) {
+        dispatcher.setEndpointRefresh(refresh);
     }
 
-    /** Streams that another process began and this one goes on with. */
-    public int inherited() {
-        return inherited.size();
+    /** Sets who is told how attempts ended. */
+    public void setAttemptListener(AttemptListener listener) {
+        dispatcher.setListener(listener);
     }
 
-    /** What takes in news of the engines that has come, before each attempt. */
-    public void freshen(Runnable how) {
-        send.freshen(how);
+    /** The prefixes that are assumed to be cached at engines, for the process that serves here next. */
+    public List<PrefixCached> cachedPrefixes() {
+        return routing.policy().cachedPrefixes();
     }
 
-    /** Who hears how attempts ended: what gateways of a tier tell each other. */
-    public void witness(Witness to) {
-        send.witness(to);
+    /** Takes over what the process that served here before assumed to be cached. */
+    public void restoreCachedPrefixes(List<PrefixCached> cached) {
+        cached.forEach(routing::report);
     }
 
-    /** What other gateways saw of readers, for the module. */
-    public void seen(List<RoutingEvent.PeerRead> facts) {
-        facts.forEach(route::tell);
+    /** Reports reads that other gateways have observed. */
+    public void reportPeerReads(List<PeerRead> reads) {
+        reads.forEach(routing::report);
     }
 
-    /** The readers that the list names. */
-    public Set<Long> readers() {
-        return fleet.readers();
+    // ---- Streams that change processes, or end with this one ----
+
+    /**
+     * Breaks a share of the running streams off, the oldest first, for a process that has no time to finish them: their
+     * clients ask for the rest elsewhere. Requests that do not stream yet go on.
+     */
+    public void breakOffStreams(double share) {
+        List<RequestRecord> streams = registry.streaming();
+        for (RequestRecord record : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
+            dispatcher.poll(record); // what its engine has finished is passed on to its end
+            if (!registry.answer(record, Verdict.ERRORED)) continue;
+            dispatcher.abandon(record);
+            record.observer.onBroken();
+        }
+        adoptedStreams.breakOff(share);
     }
 
-    /** Engines listed that the module passes over for now. */
-    public int avoided() {
-        return route.avoided();
+    /**
+     * Detaches at most {@code limit} running streams, so that another process continues them. Streams within an event, or
+     * whose client is behind, stay. A detached stream is counted by the process that ends it.
+     */
+    public List<DetachedStream> detachStreams(int limit) {
+        List<DetachedStream> detached = new ArrayList<>(adoptedStreams.detach(limit));
+        for (RequestRecord record : registry.streaming()) {
+            if (detached.size() == limit) break;
+            detach(record).ifPresent(detached::add);
+        }
+        return detached;
     }
 
-    /** Engines in the list. */
-    public int listed() {
-        return fleet.size();
+    private Optional<DetachedStream> detach(RequestRecord record) {
+        Attempt attempt = record.winner;
+        if (attempt.ended || attempt.paused || !attempt.handle.isBetweenEvents()) return Optional.empty();
+        return record.observer.detachConnection().map(client -> {
+            Object engine = attempt.handle.detachConnection();
+            dispatcher.onClientDisconnected(record);
+            String className = record.terms.of(record.request).name();
+            return new DetachedStream(className, record.request.id(), client, engine);
+        });
     }
 
-    /** Requests that still wait for their final answer. */
-    public int unanswered() {
-        return book.unanswered() + inherited.size();
+    /** Continues a stream that another process detached; {@code connect} connects its engine's answer. */
+    public RequestHandle adoptStream(
+            String requestClass,
+            String requestId,
+            ResponseObserver observer,
+            double stallTimeoutMs,
+            Function<AttemptObserver, AttemptHandle> connect) {
+        return adoptedStreams.adopt(requestClass, requestId, observer, stallTimeoutMs, connect);
     }
 
-    /** Requests of which anything is still remembered. */
-    public int remembered() {
-        return book.size() + inherited.size();
+    // ---- Figures ----
+
+    /** The number of streams that another process began and this one continues. */
+    public int adoptedStreams() {
+        return adoptedStreams.size();
     }
 
-    /** Releases that are still to be said once more: a program that ended before would leave states held. */
-    public int lettingGo() {
-        return book.lettingGo();
+    /** The readers that are listed. */
+    public Set<Long> readers() {
+        return directory.readers();
     }
 
-    private void perform(RoutingAction action) {
-        if (action instanceof RoutingAction.StartAttempt order) send.attempt(order);
-        else if (action instanceof RoutingAction.CancelAttempt order) send.cancel(order);
-        else if (action instanceof RoutingAction.ReleaseState order) release(order.requestId());
-        else if (action instanceof RoutingAction.RejectRequest refuse) refuse(refuse);
-        else if (action instanceof RoutingAction.FailRequest fail) fail(fail.requestId(), Why.ENGINE);
-        else if (action instanceof RoutingAction.SetTimer timer) {
-            loop.at(timer.atMs(), () -> route.tell(new RoutingEvent.TimerFired(timer.token())));
-        } else if (action instanceof RoutingAction.LogMessage line) log.accept(line.text());
-        // Subscribe and FetchList need nothing: the list is always watched.
+    /** The number of listed engines that the policy gives no new work for now. */
+    public int ejectedEngines() {
+        return routing.policy().ejectedEngines();
     }
 
-    private void release(long number) {
-        Entry entry = book.find(number);
-        if (entry != null) book.release(entry);
+    /** The number of engines that are listed. */
+    public int listedEngines() {
+        return directory.size();
     }
 
-    private void refuse(RoutingAction.RejectRequest order) {
-        Entry entry = book.find(order.requestId());
-        if (entry == null || !book.answer(entry, Verdict.DEFERRED)) return;
-        book.settle(entry);
-        entry.caller.refuse(Why.OVERLOAD, order.retryAfterMs());
+    /** The number of requests that wait for their final answer. */
+    public int unansweredRequests() {
+        return registry.unanswered() + adoptedStreams.size();
     }
 
-    private void fail(long number, Why why) {
-        Entry entry = book.find(number);
-        if (entry == null || !book.answer(entry, Verdict.ERRORED)) return;
-        book.settle(entry);
-        entry.caller.fail(why);
+    /** The number of requests of which anything is still remembered. */
+    public int openRequests() {
+        return registry.size() + adoptedStreams.size();
     }
 
-    /** The module gave no answer in time: nothing may be late for want of one. */
-    private void overdue(Entry entry) {
-        send.poll(entry);
-        if (entry.answered || entry.winner != null) return;
-        log.accept("request " + entry.number + " was not answered by its deadline");
-        fail(entry.number, Why.DEADLINE);
-        send.leave(entry);
+    /** The number of releases that are still repeated; a process that exited now would leave states held. */
+    public int pendingReleases() {
+        return releaser.pendingRepeats();
     }
 
-    /** A request that was never open, or no longer is. */
-    private static final class Closed implements Ticket {
+    /** Carries the policy's actions out. Endpoints are always subscribed to, so it ignores actions that ask for them. */
+    private final class ActionHandler implements Handler {
         @Override
-        public void gone() {}
+        public void onStartAttempt(StartAttempt order) {
+            dispatcher.start(order);
+        }
+
+        @Override
+        public void onCancelAttempt(CancelAttempt order) {
+            dispatcher.cancel(order);
+        }
+
+        @Override
+        public void onReleaseState(ReleaseState order) {
+            RequestRecord record = registry.find(order.requestId());
+            if (record != null) releaser.releaseUnused(record);
+        }
 
         @Override
-        public void writable() {}
+        public void onRejectRequest(RejectRequest order) {
+            RequestRecord record = registry.find(order.requestId());
+            if (record == null || !registry.answer(record, Verdict.DEFERRED)) return;
+            registry.settle(record);
+            record.observer.onRejected(Reason.OVERLOAD, order.retryAfterMs());
+        }
+
+        @Override
+        public void onFailRequest(FailRequest order) {
+            fail(order.requestId(), Reason.ENGINE);
+        }
+
+        @Override
+        public void onSetTimer(SetTimer order) {
+            loop.at(order.atMs(), () -> routing.report(new RoutingEvent.TimerFired(order.token())));
+        }
+
+        @Override
+        public void onLogMessage(LogMessage order) {
+            log.accept(order.text());
+        }
     }
 
-    private final class Open implements Ticket {
-        private final Entry entry;
+    private final class OpenRequest implements RequestHandle {
+        private final RequestRecord record;
 
-        Open(Entry entry) {
-            this.entry = entry;
+        OpenRequest(RequestRecord record) {
+            this.record = record;
         }
 
         @Override
-        public void gone() {
-            send.gone(entry);
+        public void onClientDisconnected() {
+            dispatcher.onClientDisconnected(record);
         }
 
         @Override
-        public void writable() {
-            relay.writable(entry);
+        public void onClientWritable() {
+            relay.onClientWritable(record);
         }
     }
 }
--- a/src/main/java/maplerail/core/Lifecycle.java
+++ b/src/main/java/maplerail/core/Lifecycle.java
@@ -6,21 +6,23 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-/**
- * The program's phases, from start to exit. Only legal moves are made; listeners hear each one. As a lame duck it sends
- * its clients away and serves what comes all the same; unlike draining, that can be taken back.
- */
+/** The phases of a gateway's process, from start to exit. Thread-safe; listeners are called by the thread that moves. */
 public final class Lifecycle {
-    /** Where the program is. */
+    /** A phase of the process. */
     public enum Phase {
+        /** No endpoint list is known yet. */
         STARTING,
+        /** Serves. */
         READY,
+        /** Sends its clients away and serves what comes all the same; unlike draining, this can be taken back. */
         LAME_DUCK,
+        /** Finishes what it has taken. */
         DRAINING,
+        /** Is done. */
         STOPPED
     }
 
-    private static final Map<Phase, Set<Phase>> LEGAL = Map.of(
+    private static final Map<Phase, Set<Phase>> LEGAL_MOVES = Map.of(
             Phase.STARTING, Set.of(Phase.READY, Phase.LAME_DUCK, Phase.DRAINING, Phase.STOPPED),
             Phase.READY, Set.of(Phase.LAME_DUCK, Phase.DRAINING),
             Phase.LAME_DUCK, Set.of(Phase.STARTING, Phase.READY, Phase.DRAINING),
@@ -30,24 +32,30 @@
     private final List<Consumer<Phase>> listeners = new ArrayList<>();
     private Phase phase = Phase.STARTING;
 
-    /** The phase now. */
+    /** The current phase. */
     public synchronized Phase phase() {
         return phase;
     }
 
-    /** Tells each later move. */
-    public synchronized void listen(Consumer<Phase> listener) {
+    /** Adds a listener, which is told of each later move. */
+    public synchronized void addListener(Consumer<Phase> listener) {
         listeners.add(listener);
     }
 
-    /** Moves on; an illegal move is a fault of the program. */
-    public void move(Phase to) {
-        List<Consumer<Phase>> heard;
+    /**
+     * Moves to another phase.
+     *
+     * @throws IllegalStateException if there is no such move, which is a defect of the caller
+     */
+    public void moveTo(Phase next) {
+        List<Consumer<Phase>> informed;
         synchronized (this) {
-            if (!LEGAL.get(phase).contains(to)) throw new IllegalStateException("no way from " + phase + " to " + to);
-            phase = to;
-            heard = List.copyOf(listeners);
+            if (!LEGAL_MOVES.get(phase).contains(next)) {
+                throw new IllegalStateException("no way from " + phase + " to " + next);
+            }
+            phase = next;
+            informed = List.copyOf(listeners);
         }
-        heard.forEach(l -> l.accept(to));
+        informed.forEach(listener -> listener.accept(next));
     }
 }
--- /dev/null
+++ b/src/main/java/maplerail/core/RequestIntake.java
@@ -0,0 +1,33 @@
+package maplerail.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** First stage: numbers each request and opens its record. */
+final class RequestIntake {
+    private final EventLoop loop;
+    private final RequestRegistry registry;
+    private final Map<String, RequestRecord> openById = new HashMap<>();
+    private long lastNumber;
+
+    RequestIntake(EventLoop loop, RequestRegistry registry) {
+        this.loop = loop;
+        this.registry = registry;
+    }
+
+    /**
+     * Opens a record; empty if a request with the same id is open, as engines could not tell the two apart.
+     *
+     * @param latestMs the latest deadline that a request may have now
+     */
+    Optional<RequestRecord> open(
+            InferenceRequest request, ResponseObserver observer, RequestTerms terms, double latestMs) {
+        if (openById.containsKey(request.id())) return Optional.empty();
+        double deadlineMs = Math.min(loop.nowMs() + request.budgetMs(), latestMs);
+        RequestRecord record = new RequestRecord(++lastNumber, request, observer, deadlineMs, terms);
+        openById.put(request.id(), record);
+        registry.open(record, () -> openById.remove(request.id()));
+        return Optional.of(record);
+    }
+}
--- /dev/null
+++ b/src/main/java/maplerail/core/StateReleaser.java
@@ -0,0 +1,86 @@
+package maplerail.core;
+
+import java.util.List;
+
+/** Releases the states that engines hold for a request once no attempt waits for them any more. */
+final class StateReleaser {
+    /**
+     * When a release is repeated. A reader whose attempt was cancelled may finish it all the same: the state is to go
+     * soon after that, and within the limit for reservations however late it ends.
+     */
+    private static final double[] REPEAT_AFTER_MS = {120, 400, 750, 1_100, 1_600};
+
+    private static final double JUST_CANCELLED_MS = 150;
+    private static final double STILL_READING_MS = 2_000; // after a read ended without a word from its reader
+
+    private final EngineTransport transport;
+    private final EventLoop loop;
+    private final EngineDirectory directory;
+    private int pendingRepeats;
+
+    StateReleaser(EngineTransport transport, EventLoop loop, EngineDirectory directory) {
+        this.transport = transport;
+        this.loop = loop;
+        this.directory = directory;
+    }
+
+    /** Releases whose repeats are not all sent; a process that exited now would leave states held. */
+    int pendingRepeats() {
+        return pendingRepeats;
+    }
+
+    /**
+     * Releases all that may be held for a request, unless an attempt is in flight: engines pass over a state that a write
+     * waits for, so the release is made when the last attempt has ended.
+     */
+    void releaseUnused(RequestRecord record) {
+        if (record.hasAttemptInFlight()) return;
+        for (long engine : List.copyOf(record.possibleHolders.keySet())) release(record, engine);
+    }
+
+    /** Releases the states that are known to be held, even if an attempt still waits for its connection. */
+    void releaseConfirmed(RequestRecord record) {
+        for (long engine : List.copyOf(record.confirmedHolders)) release(record, engine);
+    }
+
+    private void release(RequestRecord record, long engine) {
+        double readEndedMs = record.possibleHolders.remove(engine);
+        record.confirmedHolders.remove(engine);
+        send(record, engine);
+        if (mayReappear(record, engine, readEndedMs)) repeat(record, engine);
+    }
+
+    /**
+     * True if the reader may hold a state later on: the release may overtake the end of a connection that was just
+     * closed, and after a reset the reader may go on reading though nobody waits.
+     */
+    private boolean mayReappear(RequestRecord record, long engine, double readEndedMs) {
+        boolean justCancelled = loop.nowMs() - record.lastCancelMs < JUST_CANCELLED_MS;
+        boolean stillReading = record.brokenReaders.contains(engine) && loop.nowMs() - readEndedMs < STILL_READING_MS;
+        return justCancelled || stillReading;
+    }
+
+    private void repeat(RequestRecord record, long engine) {
+        pendingRepeats++;
+        loop.at(loop.nowMs() + REPEAT_AFTER_MS[REPEAT_AFTER_MS.length - 1], () -> pendingRepeats--);
+        for (double afterMs : REPEAT_AFTER_MS) {
+            loop.at(loop.nowMs() + afterMs, () -> {
+                if (record.answered || !isUsedAgain(record, engine)) send(record, engine);
+            });
+        }
+    }
+
+    private static boolean isUsedAgain(RequestRecord record, long engine) {
+        return record.hasAttemptInFlightAt(engine) || record.confirmedHolders.contains(engine) || record.winner != null;
+    }
+
+    private void send(RequestRecord record, long engine) {
+        double untilMs = loop.nowMs() + record.terms.reservationLimitMs();
+        transport.release(
+                engine,
+                directory.readyEngines(),
+                record.request.id(),
+                untilMs,
+                () -> record.answered || record.confirmedHolders.isEmpty());
+    }
+}
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/Door.java
@@ -10,7 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -50,7 +50,7 @@
     }
 
     private final ChannelListener<StreamConnection> next;
-    private final Loop loop;
+    private final EventLoop loop;
     private final int most;
     private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
     private boolean looking;
@@ -62,7 +62,7 @@
     }
 
     /** A door before a server's listener, through which at most so many connections should be at once. */
-    public Door(ChannelListener<StreamConnection> next, Loop loop, int most) {
+    public Door(ChannelListener<StreamConnection> next, EventLoop loop, int most) {
         this.next = next;
         this.loop = loop;
         this.most = most;
--- a/src/main/java/maplerail/front/Turnstile.java
+++ b/src/main/java/maplerail/front/Turnstile.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayDeque;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -23,12 +23,12 @@
     private static final double LATE_MS = 60; // of a turn, from which the loop has enough to do
 
     private final ChannelListener<StreamConnection> next;
-    private final Loop loop;
+    private final EventLoop loop;
     private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
     private boolean turning;
 
     /** A turnstile before what looks after connections that are open. */
-    public Turnstile(ChannelListener<StreamConnection> next, Loop loop) {
+    public Turnstile(ChannelListener<StreamConnection> next, EventLoop loop) {
         this.next = next;
         this.loop = loop;
     }
--- a/src/main/java/maplerail/front/jsonrpc/AnswerCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/AnswerCaller.java
@@ -9,19 +9,19 @@
     }
 
     @Override
-    public boolean event(byte[] events) {
+    public boolean onEvent(byte[] events) {
         boolean ready = true;
         for (String data : EventSplitter.data(events)) ready = pending.notify(data);
         return ready;
     }
 
     @Override
-    public void end() {
+    public void onCompleted() {
         pending.finish("{\"jsonrpc\":\"2.0\",\"id\":" + pending.id + ",\"result\":{\"complete\":true}}");
     }
 
     @Override
-    public void broken() {
+    public void onBroken() {
         pending.finish(RpcError.FAILED.failed(pending.id, "the answer broke off"));
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/Answers.java
+++ b/src/main/java/maplerail/front/jsonrpc/Answers.java
@@ -13,9 +13,9 @@
 import maplerail.config.Json;
 import maplerail.config.Names;
 import maplerail.config.Tree;
-import maplerail.core.Ask;
 import maplerail.core.Broker;
-import maplerail.core.Ticket;
+import maplerail.core.InferenceRequest;
+import maplerail.core.RequestHandle;
 import maplerail.net.HttpCargo;
 
 /** The method answers/stream: a completion from the platform's engines, by the platform's own broker. */
@@ -35,7 +35,7 @@
         names = to;
     }
 
-    Ticket start(RpcMessage message, String team, Session.Pending pending) {
+    RequestHandle start(RpcMessage message, String team, Session.Pending pending) {
         Tree params = Session.params(message);
         String kind = params.need("kind").text();
         int place = names.classes().indexOf(kind);
@@ -57,7 +57,7 @@
         add(headers, "Req-Owner", team);
         if (key.matches("[0-9A-Za-z._~-]{1,128}")) add(headers, "Req-Key", key);
         headers.add(new SimpleImmutableEntry<>(Headers.CONTENT_TYPE, "application/json"));
-        Ask ask = new Ask(
+        InferenceRequest ask = new InferenceRequest(
                 id,
                 place,
                 tenant,
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -17,7 +17,7 @@
 import java.util.Map;
 import java.util.UUID;
 import maplerail.config.ToolsConfig;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import maplerail.front.Departure;
 import maplerail.front.Door;
 import maplerail.rpc.Replay;
@@ -39,7 +39,7 @@
 
     private final ToolsConfig config;
     private final Session.Methods methods;
-    private final Loop loop;
+    private final EventLoop loop;
     private final int mostBytes;
     private final Replay.Budget budget = new Replay.Budget(MOST_KEPT);
     private final Map<String, Kept> sessions = new LinkedHashMap<>();
@@ -94,7 +94,7 @@
         }
     }
 
-    HttpSessions(ToolsConfig config, Session.Methods methods, Loop loop, int mostBytes) {
+    HttpSessions(ToolsConfig config, Session.Methods methods, EventLoop loop, int mostBytes) {
         this.config = config;
         this.methods = methods;
         this.loop = loop;
--- a/src/main/java/maplerail/front/jsonrpc/RpcCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcCaller.java
@@ -1,9 +1,9 @@
 package maplerail.front.jsonrpc;
 
-import maplerail.core.Caller;
+import maplerail.core.ResponseObserver;
 
 /** Words what ends a request unserved as the one final answer to its message. */
-abstract class RpcCaller implements Caller {
+abstract class RpcCaller implements ResponseObserver {
     protected final Session.Pending pending;
 
     RpcCaller(Session.Pending pending) {
@@ -11,17 +11,17 @@
     }
 
     @Override
-    public boolean here() {
+    public boolean isConnected() {
         return pending.here();
     }
 
     @Override
-    public void refuse(Why why, double retryAfterMs) {
+    public void onRejected(Reason why, double retryAfterMs) {
         pending.finish(why, true, retryAfterMs);
     }
 
     @Override
-    public void fail(Why why) {
+    public void onFailed(Reason why) {
         pending.finish(why, false, 0);
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -19,10 +19,10 @@
 import maplerail.config.Names;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Broker;
+import maplerail.core.EventLoop;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.core.Loop;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
 import maplerail.front.Departure;
 import maplerail.front.Door;
 import org.xnio.IoUtils;
@@ -51,7 +51,7 @@
             Broker platform,
             Names names,
             Lifecycle lifecycle,
-            Loop loop) {
+            EventLoop loop) {
         this.config = config;
         this.tools = new Tools(config, services, loop);
         this.answers = new Answers(platform, names);
@@ -168,7 +168,7 @@
     }
 
     @Override
-    public Ticket start(int team, RpcMessage message, Session.Pending pending) {
+    public RequestHandle start(int team, RpcMessage message, Session.Pending pending) {
         switch (message.method()) {
             case "tools/call" -> {
                 return tools.call(message, team, pending);
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -6,8 +6,8 @@
 import maplerail.config.ConfigException;
 import maplerail.config.Json;
 import maplerail.config.Tree;
-import maplerail.core.Caller;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
+import maplerail.core.ResponseObserver;
 import maplerail.rpc.Batch;
 import maplerail.rpc.SessionState;
 
@@ -26,7 +26,7 @@
     /** What a session asks of the program behind it. */
     interface Methods {
         /** Starts a request; {@code null} if it was answered at once. */
-        Ticket start(int team, RpcMessage message, Pending pending);
+        RequestHandle start(int team, RpcMessage message, Pending pending);
 
         /** True while new requests are wanted. */
         boolean open();
@@ -142,7 +142,7 @@
         Pending pending = id == null ? null : open.get(id);
         if (pending == null) return;
         pending.finish(RpcError.CANCELLED.failed(id, "cancelled"));
-        if (pending.ticket != null) pending.ticket.gone();
+        if (pending.ticket != null) pending.ticket.onClientDisconnected();
     }
 
     /** The client has left for good: nobody waits for anything here. */
@@ -152,7 +152,7 @@
         state.close();
         for (Pending pending : List.copyOf(open.values())) {
             pending.over = true;
-            if (pending.ticket != null) pending.ticket.gone();
+            if (pending.ticket != null) pending.ticket.onClientDisconnected();
         }
         open.clear();
     }
@@ -170,7 +170,7 @@
     final class Pending {
         final String id;
         private final Sink to;
-        private Ticket ticket;
+        private RequestHandle ticket;
         private boolean paused;
         private boolean over;
 
@@ -191,7 +191,7 @@
             finish("{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"result\":" + value + "}");
         }
 
-        void finish(Caller.Why why, boolean refused, double retryAfterMs) {
+        void finish(ResponseObserver.Reason why, boolean refused, double retryAfterMs) {
             finish(
                     switch (why) {
                         case INVALID ->
@@ -233,13 +233,13 @@
         void expire() {
             if (over) return;
             finish(RpcError.DEADLINE.failed(id, "deadline"));
-            if (ticket != null) ticket.gone();
+            if (ticket != null) ticket.onClientDisconnected();
         }
 
         private void goOn() {
             if (!paused || to.slow() || ticket == null) return;
             paused = false;
-            ticket.writable();
+            ticket.onClientWritable();
         }
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
+++ b/src/main/java/maplerail/front/jsonrpc/ToolCaller.java
@@ -6,7 +6,7 @@
 import maplerail.config.ConfigException;
 import maplerail.config.Json;
 import maplerail.config.Tree;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import maplerail.rpc.Progress;
 
 /**
@@ -16,11 +16,11 @@
 final class ToolCaller extends RpcCaller {
     private final Progress progress;
     private final String clientToken;
-    private final Loop loop;
-    private Loop.Alarm limit;
+    private final EventLoop loop;
+    private EventLoop.Timer limit;
 
     /** {@code clientToken} is the text of the token under which the client wants to hear of progress, null for none. */
-    ToolCaller(Session.Pending pending, Progress progress, String clientToken, Loop loop) {
+    ToolCaller(Session.Pending pending, Progress progress, String clientToken, EventLoop loop) {
         super(pending);
         this.progress = progress;
         this.clientToken = clientToken;
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public boolean event(byte[] event) {
+    public boolean onEvent(byte[] event) {
         // The first event ends the deadline that the broker keeps: from here on the contract's most counts.
         if (limit == null) limit = loop.at(loop.nowMs() + progress.leftMs(loop.nowMs()), pending::expire);
         String text = new String(event, StandardCharsets.UTF_8);
@@ -72,14 +72,14 @@
     }
 
     @Override
-    public void end() {
+    public void onCompleted() {
         close(RpcError.FAILED.failed(pending.id, "the tool's reply ended without an answer"));
     }
 
     @Override
-    public void broken() {
+    public void onBroken() {
         progress.end();
         if (limit != null) limit.cancel();
-        pending.finish(Why.ENGINE, false, 0);
+        pending.finish(Reason.ENGINE, false, 0);
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/Tools.java
+++ b/src/main/java/maplerail/front/jsonrpc/Tools.java
@@ -9,10 +9,10 @@
 import maplerail.config.Json;
 import maplerail.config.ToolsConfig;
 import maplerail.config.Tree;
-import maplerail.core.Ask;
 import maplerail.core.Broker;
-import maplerail.core.Loop;
-import maplerail.core.Ticket;
+import maplerail.core.EventLoop;
+import maplerail.core.InferenceRequest;
+import maplerail.core.RequestHandle;
 import maplerail.net.ToolCargo;
 import maplerail.rpc.Pages;
 import maplerail.rpc.Progress;
@@ -23,17 +23,17 @@
 
     private final ToolsConfig config;
     private final Map<String, Broker> services;
-    private final Loop loop;
+    private final EventLoop loop;
     private final TreeMap<String, ToolsConfig.Tool> tools;
 
-    Tools(ToolsConfig config, Map<String, Broker> services, Loop loop) {
+    Tools(ToolsConfig config, Map<String, Broker> services, EventLoop loop) {
         this.loop = loop;
         this.tools = new TreeMap<>(config.tools());
         this.config = config;
         this.services = services;
     }
 
-    Ticket call(RpcMessage message, int team, Session.Pending pending) {
+    RequestHandle call(RpcMessage message, int team, Session.Pending pending) {
         Tree params = Session.params(message);
         String name = params.need("name").text();
         ToolsConfig.Tool tool = config.tools().get(name);
@@ -51,7 +51,7 @@
                         + arguments + meta + "}}")
                 .getBytes(StandardCharsets.UTF_8);
         int size = arguments.getBytes(StandardCharsets.UTF_8).length;
-        Ask ask = new Ask(
+        InferenceRequest ask = new InferenceRequest(
                 id,
                 tool.contract(),
                 team,
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -7,9 +7,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import maplerail.core.Caller;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
+import maplerail.core.ResponseObserver;
 import maplerail.front.Departure;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,7 +18,7 @@
 import org.xnio.channels.StreamSinkChannel;
 
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
-final class Answer implements Caller {
+final class Answer implements ResponseObserver {
     private static final Logger LOG = LoggerFactory.getLogger(Answer.class);
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
 
@@ -25,7 +26,7 @@
     private final BooleanSupplier leaving;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
-    private Ticket ticket;
+    private RequestHandle ticket;
     private StreamSinkChannel sink;
     private boolean paused;
     private boolean ending;
@@ -37,13 +38,13 @@
         this.leaving = leaving;
     }
 
-    void hold(Ticket held) {
+    void hold(RequestHandle held) {
         ticket = held;
         if (!over) Departure.watch(exchange, this::over, this::left);
     }
 
     @Override
-    public boolean here() {
+    public boolean isConnected() {
         return !Departure.gone(exchange);
     }
 
@@ -56,11 +57,11 @@
         LOG.debug("{}: its client has left", exchange.getRequestHeaders().getFirst("Req-Id"));
         over = true;
         IoUtils.safeClose(exchange.getConnection());
-        if (ticket != null) ticket.gone();
+        if (ticket != null) ticket.onClientDisconnected();
     }
 
     @Override
-    public boolean event(byte[] event) {
+    public boolean onEvent(byte[] event) {
         if (over) return true;
         if (sink == null) {
             part();
@@ -108,7 +109,7 @@
         }
         if (paused && !over && waitingBytes <= MOST_WAITING / 2) {
             paused = false;
-            ticket.writable();
+            ticket.onClientWritable();
         }
     }
 
@@ -121,15 +122,15 @@
     }
 
     @Override
-    public void end() {
+    public void onCompleted() {
         if (over) return;
-        if (sink == null) event(new byte[0]);
+        if (sink == null) onEvent(new byte[0]);
         ending = true;
         write();
     }
 
     @Override
-    public void broken() {
+    public void onBroken() {
         if (over) return;
         over = true;
         // What is still waiting goes out if it can at once; then the connection ends with no last chunk.
@@ -145,7 +146,7 @@
     }
 
     @Override
-    public Object handOn() {
+    public Optional<Object> detachConnection() {
         if (over
                 || ending
                 || paused
@@ -155,36 +156,36 @@
                 || !(exchange.getConnection() instanceof HttpServerConnection http)
                 || http.getExtraBytes() != null
                 || Departure.early(exchange)) {
-            return null;
+            return Optional.empty();
         }
         try {
             if (!sink.flush()) {
                 sink.resumeWrites();
-                return null;
+                return Optional.empty();
             }
         } catch (IOException e) {
             left();
-            return null;
+            return Optional.empty();
         }
         over = true;
         sink.suspendWrites();
         http.getOriginalSourceConduit().suspendReads();
         boolean closes = !exchange.isPersistent()
                 || "close".equals(exchange.getResponseHeaders().getFirst(Headers.CONNECTION));
-        return new ContinuedAnswer.Held(http.getChannel(), closes);
+        return Optional.of(new ContinuedAnswer.Held(http.getChannel(), closes));
     }
 
     @Override
-    public void refuse(Why why, double retryAfterMs) {
+    public void onRejected(Reason why, double retryAfterMs) {
         if (retryAfterMs > 0) {
             String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / 1_000);
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
         }
-        say(why == Why.INVALID ? 413 : 503, "refused, a repeat does no harm");
+        say(why == Reason.INVALID ? 413 : 503, "refused, a repeat does no harm");
     }
 
     @Override
-    public void fail(Why why) {
+    public void onFailed(Reason why) {
         switch (why) {
             case INVALID -> say(400, "not a valid request");
             case DUPLICATE -> say(409, "Req-Id: open already");
--- a/src/main/java/maplerail/front/platform/ContinuedAnswer.java
+++ b/src/main/java/maplerail/front/platform/ContinuedAnswer.java
@@ -4,9 +4,10 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.function.Consumer;
-import maplerail.core.Caller;
-import maplerail.core.Ticket;
+import maplerail.core.RequestHandle;
+import maplerail.core.ResponseObserver;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
@@ -14,7 +15,7 @@
  * A client whose answer was begun by another process: gets the rest of the chunks of a body whose head it has (RFC 9112,
  * 7.1). After a whole answer its connection goes on to whoever takes new ones, unless the client was told otherwise.
  */
-public final class ContinuedAnswer implements Caller {
+public final class ContinuedAnswer implements ResponseObserver {
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
     private static final byte[] LAST = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -23,7 +24,7 @@
     private final Consumer<StreamConnection> next;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
-    private Ticket ticket;
+    private RequestHandle ticket;
     private boolean paused;
     private boolean early;
     private boolean ending;
@@ -37,7 +38,7 @@
     }
 
     /** Its request goes on under this ticket; from here on it is seen when it leaves. */
-    public void hold(Ticket held) {
+    public void hold(RequestHandle held) {
         ticket = held;
         connection.getSinkChannel().setWriteListener(c -> write());
         connection.getSourceChannel().setReadListener(c -> look());
@@ -64,11 +65,11 @@
         if (over) return;
         over = true;
         IoUtils.safeClose(connection);
-        ticket.gone();
+        ticket.onClientDisconnected();
     }
 
     @Override
-    public boolean event(byte[] event) {
+    public boolean onEvent(byte[] event) {
         if (over || event.length == 0) return true;
         byte[] size = (Integer.toHexString(event.length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
         add(ByteBuffer.allocate(size.length + event.length + 2)
@@ -111,41 +112,41 @@
             else next.accept(connection);
         } else if (paused && waitingBytes <= MOST_WAITING / 2) {
             paused = false;
-            ticket.writable();
+            ticket.onClientWritable();
         }
     }
 
     @Override
-    public void end() {
+    public void onCompleted() {
         if (over) return;
         ending = true;
         add(ByteBuffer.wrap(LAST));
     }
 
     @Override
-    public void broken() {
+    public void onBroken() {
         if (over) return;
         over = true;
         IoUtils.safeClose(connection);
     }
 
     @Override
-    public void refuse(Why why, double retryAfterMs) {
-        broken(); // its answer has begun: there is no other way to say that it is over
+    public void onRejected(Reason why, double retryAfterMs) {
+        onBroken(); // its answer has begun: there is no other way to say that it is over
     }
 
     @Override
-    public void fail(Why why) {
-        broken();
+    public void onFailed(Reason why) {
+        onBroken();
     }
 
     @Override
-    public Object handOn() {
-        if (over || ending || early || !waiting.isEmpty()) return null;
+    public Optional<Object> detachConnection() {
+        if (over || ending || early || !waiting.isEmpty()) return Optional.empty();
         over = true;
         connection.getSourceChannel().suspendReads();
         connection.getSinkChannel().suspendWrites();
-        return new Held(connection, closes);
+        return Optional.of(new Held(connection, closes));
     }
 
     /** A client's connection between two events, that nobody reads or writes any more, and whether it ends with its answer. */
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -7,8 +7,8 @@
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import maplerail.config.Names;
-import maplerail.core.Ask;
 import maplerail.core.Broker;
+import maplerail.core.InferenceRequest;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.front.Departure;
@@ -81,7 +81,7 @@
             answer.say(413, "the body is too large");
             return;
         }
-        Ask ask;
+        InferenceRequest ask;
         try {
             ask = reader.read(exchange, body);
         } catch (RequestReader.BadRequest e) {
--- a/src/main/java/maplerail/front/platform/RequestReader.java
+++ b/src/main/java/maplerail/front/platform/RequestReader.java
@@ -12,10 +12,10 @@
 import java.util.Set;
 import maplerail.config.EngineIds;
 import maplerail.config.Names;
-import maplerail.core.Ask;
+import maplerail.core.InferenceRequest;
 import maplerail.net.HttpCargo;
 
-/** Turns a client's headers and body into an {@link Ask}; says what is wrong with one that it can't be made of. */
+/** Turns a client's headers and body into an {@link InferenceRequest}; says what is wrong with one that it can't be made of. */
 final class RequestReader {
     private static final double TOKEN_BYTES = 4;
     private static final double MOST_S = 3_600; // that a client may say it waits
@@ -47,7 +47,7 @@
         }
     }
 
-    Ask read(HttpServerExchange exchange, byte[] body) throws BadRequest {
+    InferenceRequest read(HttpServerExchange exchange, byte[] body) throws BadRequest {
         String id = need(exchange, "Req-Id");
         if (!id.matches("[0-9A-Za-z._~-]{1,128}")) throw new BadRequest("Req-Id: not an id");
         int kind = place(names.classes(), need(exchange, "Req-Kind"), "Req-Kind");
@@ -60,7 +60,7 @@
         double most = tokens(extra, "max_out", 0);
         String hint = exchange.getRequestHeaders().getFirst("Req-Cost");
         boolean again = "again".equals(exchange.getRequestHeaders().getFirst("Req-Retry"));
-        return new Ask(
+        return new InferenceRequest(
                 id,
                 kind,
                 tenant,
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -7,7 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.StreamConnection;
@@ -25,7 +25,7 @@
     private final AnswerReader reader;
     private Link link;
     private Runnable disconnect;
-    private Loop.Alarm limit;
+    private EventLoop.Timer limit;
     private boolean wrote;
     private boolean whole;
     private boolean paused;
@@ -132,7 +132,7 @@
     }
 
     /** While it has no connection: when to give up waiting for one, and how. */
-    void connecting(Loop.Alarm alarm, Runnable cancel) {
+    void connecting(EventLoop.Timer alarm, Runnable cancel) {
         calm();
         limit = alarm;
         disconnect = cancel;
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -22,9 +22,11 @@
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
 import maplerail.config.Tree;
-import maplerail.core.Ask;
-import maplerail.core.Engines;
-import maplerail.core.Loop;
+import maplerail.core.AttemptHandle;
+import maplerail.core.AttemptObserver;
+import maplerail.core.EngineTransport;
+import maplerail.core.EventLoop;
+import maplerail.core.InferenceRequest;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
@@ -33,7 +35,7 @@
 import org.xnio.StreamConnection;
 
 /** Attempts and releases on the platform's wire. */
-public final class EngineClient implements Engines {
+public final class EngineClient implements EngineTransport {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
     private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
     private static final double AGAIN_MS = 60; // between two tries at a release
@@ -80,14 +82,14 @@
         return addresses.getOrDefault(engine, left.get(engine));
     }
 
-    /** Engines whose address is known. */
+    /** EngineTransport whose address is known. */
     public int known() {
         return addresses.size() + left.size();
     }
 
     @Override
-    public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        HttpCargo cargo = (HttpCargo) ask.cargo();
+    public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
+        HttpCargo cargo = (HttpCargo) ask.payload();
         InetSocketAddress to = address(engine);
         ClientRequest request = Requests.to(to, cargo.method(), cargo.target());
         for (Map.Entry<HttpString, String> header : cargo.headers()) {
@@ -106,7 +108,7 @@
     }
 
     /** Goes on with an engine's stream that another process began, from between two events. */
-    public Sending adopt(InetSocketAddress to, StreamConnection connection, Answer answer) {
+    public AttemptHandle adopt(InetSocketAddress to, StreamConnection connection, AttemptObserver answer) {
         Incoming incoming = new Incoming(answer);
         incoming.meaning = AttemptOutcome.COMPLETED;
         incoming.framed = true;
@@ -115,25 +117,25 @@
 
     /** An engine's answer, told as an outcome. */
     private static class Incoming implements Reply {
-        private final Answer answer;
+        private final AttemptObserver answer;
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
         private AttemptOutcome meaning;
         private boolean framed;
         private boolean unfit;
 
-        Incoming(Answer answer) {
+        Incoming(AttemptObserver answer) {
             this.answer = answer;
         }
 
         @Override
         public boolean wanted() {
-            return answer.wanted();
+            return answer.isWanted();
         }
 
         @Override
         public void written() {
-            answer.written();
+            answer.onSent();
         }
 
         @Override
@@ -147,7 +149,7 @@
         @Override
         public void body(ByteBuffer piece) {
             if (meaning == AttemptOutcome.COMPLETED) {
-                if (!events.feed(piece, answer::event)) framed = false;
+                if (!events.feed(piece, answer::onEvent)) framed = false;
             } else if (text.size() < MOST_READ) {
                 while (piece.hasRemaining()) text.write(piece.get());
             }
@@ -156,11 +158,12 @@
         @Override
         public void end() {
             if (unfit) {
-                answer.unfit();
+                answer.onInvalidRequest();
                 return;
             }
-            if (meaning == AttemptOutcome.COMPLETED && framed && events.rest().length > 0) answer.event(events.rest());
-            answer.ended(meaning == AttemptOutcome.COMPLETED && !framed ? AttemptOutcome.RESET : meaning, kept());
+            if (meaning == AttemptOutcome.COMPLETED && framed && events.rest().length > 0)
+                answer.onEvent(events.rest());
+            answer.onEnded(meaning == AttemptOutcome.COMPLETED && !framed ? AttemptOutcome.RESET : meaning, kept());
         }
 
         @Override
@@ -181,7 +184,7 @@
 
         @Override
         public void failed(boolean neverSent) {
-            answer.ended(Outcomes.broken(meaning, neverSent), 0);
+            answer.onEnded(Outcomes.broken(meaning, neverSent), 0);
         }
     }
 
@@ -275,7 +278,7 @@
             private final InetSocketAddress engine;
             private final boolean own;
             private Call call;
-            private Loop.Alarm silence;
+            private EventLoop.Timer silence;
             private boolean answered;
 
             Word(InetSocketAddress engine, boolean own) {
--- a/src/main/java/maplerail/net/HttpCargo.java
+++ b/src/main/java/maplerail/net/HttpCargo.java
@@ -3,8 +3,8 @@
 import io.undertow.util.HttpString;
 import java.util.List;
 import java.util.Map;
-import maplerail.core.Cargo;
+import maplerail.core.RequestPayload;
 
 /** A client's request as it came: what passes on to an engine unchanged. */
 public record HttpCargo(HttpString method, String target, List<Map.Entry<HttpString, String>> headers, byte[] body)
-        implements Cargo {}
+        implements RequestPayload {}
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
@@ -119,7 +119,7 @@
      * When a call without a connection fails. Guards against a loop that is behind: it has not looked for that long,
      * so a limit that it meets late says nothing of the engine and starts anew; what has come up is seen first.
      */
-    private Loop.Alarm limit(Call call, Runnable cancel) {
+    private EventLoop.Timer limit(Call call, Runnable cancel) {
         double due = loop.nowMs() + connectMs;
         return loop.at(due, () -> {
             if (loop.nowMs() - due > LATE_MS && call.waiting()) call.connecting(limit(call, cancel), cancel);
--- a/src/main/java/maplerail/net/Sent.java
+++ b/src/main/java/maplerail/net/Sent.java
@@ -1,11 +1,11 @@
 package maplerail.net;
 
-import maplerail.core.Engines;
+import maplerail.core.AttemptHandle;
 
 /** A {@link Call} as the core sees it. */
-record Sent(Call call) implements Engines.Sending {
+record Sent(Call call) implements AttemptHandle {
     @Override
-    public boolean unsent() {
+    public boolean isUnsent() {
         return call.unsent();
     }
 
@@ -30,12 +30,12 @@
     }
 
     @Override
-    public boolean between() {
+    public boolean isBetweenEvents() {
         return call.between();
     }
 
     @Override
-    public Object handOn() {
+    public Object detachConnection() {
         return call.handOn();
     }
 }
--- a/src/main/java/maplerail/net/ToolCargo.java
+++ b/src/main/java/maplerail/net/ToolCargo.java
@@ -1,9 +1,9 @@
 package maplerail.net;
 
-import maplerail.core.Cargo;
+import maplerail.core.RequestPayload;
 
 /**
  * A tool call: the message for the tool server, the most bytes that its reply may hold, and how long a server that
  * tells its progress may be silent.
  */
-public record ToolCargo(String path, byte[] message, int mostReply, double stallMs) implements Cargo {}
+public record ToolCargo(String path, byte[] message, int mostReply, double stallMs) implements RequestPayload {}
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -15,12 +15,14 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import maplerail.config.Json;
-import maplerail.core.Ask;
-import maplerail.core.Engines;
+import maplerail.core.AttemptHandle;
+import maplerail.core.AttemptObserver;
+import maplerail.core.EngineTransport;
+import maplerail.core.InferenceRequest;
 import maplerail.routing.AttemptOutcome;
 
 /** Attempts at tool servers: one HTTP POST each, whose reply counts when it is whole. */
-public final class ToolClient implements Engines {
+public final class ToolClient implements EngineTransport {
     /** What a reply that its contract does not allow is answered with: the call has run. */
     public static final String TOO_LARGE = "{\"error\":{\"code\":-32004,\"message\":\"the reply is larger than its"
             + " contract allows\",\"data\":{\"outcome\":\"failed\",\"mayHaveRun\":true}}}";
@@ -45,8 +47,8 @@
     }
 
     @Override
-    public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
-        ToolCargo cargo = (ToolCargo) ask.cargo();
+    public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
+        ToolCargo cargo = (ToolCargo) ask.payload();
         ClientRequest request = Requests.to(addresses.get(engine), Methods.POST, cargo.path());
         request.getRequestHeaders().put(ID, ask.id());
         double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
@@ -60,7 +62,7 @@
     }
 
     private static final class Incoming implements Reply {
-        private final Answer answer;
+        private final AttemptObserver answer;
         private final int most;
         private final ByteArrayOutputStream text = new ByteArrayOutputStream();
         private AttemptOutcome meaning;
@@ -70,19 +72,19 @@
         private final EventSplitter events = new EventSplitter();
         private Call call;
 
-        Incoming(Answer answer, int most) {
+        Incoming(AttemptObserver answer, int most) {
             this.answer = answer;
             this.most = most;
         }
 
         @Override
         public boolean wanted() {
-            return answer.wanted();
+            return answer.isWanted();
         }
 
         @Override
         public void written() {
-            answer.written();
+            answer.onSent();
         }
 
         @Override
@@ -117,35 +119,35 @@
                 tooLarge();
                 return;
             }
-            answer.event(text);
+            answer.onEvent(text);
             Map<String, String> fields = Json.fields(data);
             if (fields == null || fields.containsKey("method")) return;
             // Guards against a server that leaves its stream open behind the answer: the call would stay open with it.
             call.abort();
-            answer.ended(AttemptOutcome.COMPLETED, 0);
+            answer.onEnded(AttemptOutcome.COMPLETED, 0);
         }
 
         private void tooLarge() {
             call.abort();
-            answer.event(TOO_LARGE.getBytes(StandardCharsets.UTF_8));
-            answer.ended(AttemptOutcome.COMPLETED, 0);
+            answer.onEvent(TOO_LARGE.getBytes(StandardCharsets.UTF_8));
+            answer.onEnded(AttemptOutcome.COMPLETED, 0);
         }
 
         @Override
         public void end() {
             if (unfit) {
                 // Guards against a server held to be failing, and ejected, for one caller's wrong calls.
-                answer.unfit();
+                answer.onInvalidRequest();
                 return;
             }
             boolean whole = meaning == AttemptOutcome.COMPLETED && framed;
-            if (whole && !streams) answer.event(text.toByteArray());
-            answer.ended(meaning == AttemptOutcome.COMPLETED && !whole ? AttemptOutcome.RESET : meaning, 0);
+            if (whole && !streams) answer.onEvent(text.toByteArray());
+            answer.onEnded(meaning == AttemptOutcome.COMPLETED && !whole ? AttemptOutcome.RESET : meaning, 0);
         }
 
         @Override
         public void failed(boolean neverSent) {
-            answer.ended(Outcomes.broken(meaning, neverSent), 0);
+            answer.onEnded(Outcomes.broken(meaning, neverSent), 0);
         }
     }
 
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -2,12 +2,12 @@
 
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
-public final class XnioLoop implements Loop {
+public final class XnioLoop implements EventLoop {
     private final XnioIoThread thread;
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public Alarm at(double whenMs, Runnable task) {
+    public Timer at(double whenMs, Runnable task) {
         long millis = (long) Math.ceil(Math.max(0, whenMs - nowMs())); // the thread cuts off parts of one
         try {
             XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -52,9 +53,9 @@
     private final List<RoutingAction> atEnd =
             new ArrayList<>(); // what the module orders when it hears an attempt ended
     private Broker broker;
-    private Ticket inheritedTicket;
+    private RequestHandle inheritedTicket;
 
-    private static final class TestLoop implements Loop {
+    private static final class TestLoop implements EventLoop {
         double now = 1_000;
         private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
 
@@ -66,7 +67,7 @@
         }
 
         @Override
-        public Alarm at(double whenMs, Runnable task) {
+        public Timer at(double whenMs, Runnable task) {
             Due one = new Due(whenMs, task);
             due.add(one);
             return () -> due.remove(one);
@@ -82,18 +83,18 @@
         }
     }
 
-    private final class Out implements Engines.Sending {
-        final Engines.Answer answer;
+    private final class Out implements AttemptHandle {
+        final AttemptObserver answer;
         boolean aborted;
         boolean paused;
         Runnable come = () -> {}; // what waits to be read
 
-        Out(Engines.Answer answer) {
+        Out(AttemptObserver answer) {
             this.answer = answer;
         }
 
         @Override
-        public boolean unsent() {
+        public boolean isUnsent() {
             return unsent;
         }
 
@@ -121,12 +122,12 @@
         }
 
         @Override
-        public boolean between() {
+        public boolean isBetweenEvents() {
             return between;
         }
 
         @Override
-        public Object handOn() {
+        public Object detachConnection() {
             wire.add("handed on");
             return this;
         }
@@ -160,9 +161,9 @@
                         new RoutingSettings.EngineKind(EngineRole.WRITER, 1)),
                 new RoutingSettings.Limits(5, true, true, true, 1_000, false),
                 new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1));
-        Engines engines = new Engines() {
+        EngineTransport engines = new EngineTransport() {
             @Override
-            public Sending send(long engine, Ask ask, double untilMs, Answer answer) {
+            public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
                 out.add(new Out(answer));
                 return out.get(out.size() - 1);
             }
@@ -181,7 +182,7 @@
         broker = new Broker(
                 router,
                 settings,
-                new Admit(Budgets.open(3), loop, new SplittableRandom(1)),
+                new AdmissionStage(AdmissionLimits.ofOpenRequests(3), loop, new SplittableRandom(1)),
                 loop,
                 engines,
                 line -> {},
@@ -192,7 +193,7 @@
     }
 
     private void list(EndpointState writer) {
-        broker.members(new RoutingEvent.EndpointUpdate(
+        broker.updateEndpoints(new RoutingEvent.EndpointUpdate(
                 EndpointUpdateKind.SNAPSHOT,
                 1,
                 List.of(
@@ -203,7 +204,7 @@
     /** Makes the module do something, by news that changes nothing. */
     private void act(RoutingAction... actions) {
         next.addAll(List.of(actions));
-        broker.members(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, List.of()));
+        broker.updateEndpoints(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, List.of()));
     }
 
     /** Once for each final answer, whoever gives it and however often it is tried; nothing for a client that has gone. */
@@ -211,22 +212,22 @@
     void eachAnswerCountsOnceUnderItsClass() {
         take("served", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.written();
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 7);
-        out.get(1).answer.written();
-        out.get(1).answer.event(new byte[1]);
+        out.get(0).answer.onSent();
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 7);
+        out.get(1).answer.onSent();
+        out.get(1).answer.onEvent(new byte[1]);
         assertThat(counts()).containsEntry("current", 1L).containsEntry("answered.a", 0L);
-        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         take("broken", new RoutingAction.StartAttempt(2, WRITER, 0));
-        out.get(2).answer.event(new byte[1]);
-        out.get(2).answer.ended(AttemptOutcome.RESET, 0);
+        out.get(2).answer.onEvent(new byte[1]);
+        out.get(2).answer.onEnded(AttemptOutcome.RESET, 0);
         take("refused", new RejectRequest(3, 0));
         take("failed", new RoutingAction.FailRequest(4));
-        Ticket gone = take("gone", new RoutingAction.StartAttempt(5, READER, 0));
+        RequestHandle gone = take("gone", new RoutingAction.StartAttempt(5, READER, 0));
         take("gone"); // the same id while it is open
-        gone.gone();
-        gone.gone();
-        out.get(3).answer.ended(AttemptOutcome.RESET, 0);
+        gone.onClientDisconnected();
+        gone.onClientDisconnected();
+        out.get(3).answer.onEnded(AttemptOutcome.RESET, 0);
         loop.until(30_000);
         assertThat(counts())
                 .containsEntry("answered.a", 1L)
@@ -240,20 +241,20 @@
     @Test
     void aStreamGoesToAnotherProcessWholeOrNotAtAll() {
         take("one", new RoutingAction.StartAttempt(1, WRITER, 0));
-        assertThat(broker.yieldStreams(9)).as("not begun").isEmpty();
-        out.get(0).answer.event(new byte[1]);
-        assertThat(broker.yieldStreams(9)).as("within an event").isEmpty();
+        assertThat(broker.detachStreams(9)).as("not begun").isEmpty();
+        out.get(0).answer.onEvent(new byte[1]);
+        assertThat(broker.detachStreams(9)).as("within an event").isEmpty();
         between = true;
-        assertThat(broker.yieldStreams(9)).as("a client that is behind").isEmpty();
+        assertThat(broker.detachStreams(9)).as("a client that is behind").isEmpty();
         assertThat(wire).doesNotContain("handed on");
         client = "client";
-        assertThat(broker.yieldStreams(0)).as("no more than is asked for").isEmpty();
-        assertThat(broker.yieldStreams(9)).containsExactly(new Broker.Moving("a", "one", "client", out.get(0)));
-        assertThat(broker.yieldStreams(9)).isEmpty();
-        out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
+        assertThat(broker.detachStreams(0)).as("no more than is asked for").isEmpty();
+        assertThat(broker.detachStreams(9)).containsExactly(new DetachedStream("a", "one", "client", out.get(0)));
+        assertThat(broker.detachStreams(9)).isEmpty();
+        out.get(0).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         loop.until(30_000);
         assertThat(caller).containsExactly("event");
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
         assertThat(counts())
                 .containsEntry("current", 0L)
                 .containsEntry("answered.a", 0L)
@@ -261,12 +262,12 @@
     }
 
     static Stream<Arguments> ends() {
-        Consumer<BrokerTest> served = t -> t.out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
-        Consumer<BrokerTest> reset = t -> t.out.get(0).answer.ended(AttemptOutcome.RESET, 0);
-        Consumer<BrokerTest> gone = t -> t.inheritedTicket.gone();
+        Consumer<BrokerTest> served = t -> t.out.get(0).answer.onEnded(AttemptOutcome.COMPLETED, 0);
+        Consumer<BrokerTest> reset = t -> t.out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
+        Consumer<BrokerTest> gone = t -> t.inheritedTicket.onClientDisconnected();
         Consumer<BrokerTest> silence = t -> t.loop.until(t.loop.now + 3_000);
-        Consumer<BrokerTest> left = t -> t.broker.breakOff(1);
-        Consumer<BrokerTest> on = t -> assertThat(t.broker.yieldStreams(1)).hasSize(1);
+        Consumer<BrokerTest> left = t -> t.broker.breakOffStreams(1);
+        Consumer<BrokerTest> on = t -> assertThat(t.broker.detachStreams(1)).hasSize(1);
         return Stream.of(
                 Arguments.of("served", served, "end", 1, 0),
                 Arguments.of("its engine fails", reset, "broken", 0, 1),
@@ -282,20 +283,20 @@
     void anInheritedStreamEndsOnce(String what, Consumer<BrokerTest> end, String said, long answered, long errored) {
         between = true;
         client = "client";
-        inheritedTicket = broker.inherit("b", "x", caller(), 3_000, answer -> {
+        inheritedTicket = broker.adoptStream("b", "x", caller(), 3_000, answer -> {
             out.add(new Out(answer));
             return out.get(0);
         });
         loop.until(loop.now + 2_900);
-        out.get(0).answer.event(new byte[1]);
-        assertThat(broker.unanswered()).isEqualTo(1);
+        out.get(0).answer.onEvent(new byte[1]);
+        assertThat(broker.unansweredRequests()).isEqualTo(1);
         end.accept(this);
-        out.get(0).answer.event(new byte[1]);
-        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
-        inheritedTicket.gone();
+        out.get(0).answer.onEvent(new byte[1]);
+        out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
+        inheritedTicket.onClientDisconnected();
         loop.until(loop.now + 30_000);
         assertThat(caller).isEqualTo(said == null ? List.of("event") : List.of("event", said));
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
         assertThat(counts())
                 .containsEntry("current", 0L)
                 .containsEntry("answered.b", answered)
@@ -309,45 +310,47 @@
         return all;
     }
 
-    private Ticket take(String id, RoutingAction... actions) {
+    private RequestHandle take(String id, RoutingAction... actions) {
         return take(id, false, actions);
     }
 
-    private Ticket take(String id, boolean again, RoutingAction... actions) {
+    private RequestHandle take(String id, boolean again, RoutingAction... actions) {
         next.addAll(List.of(actions));
-        return broker.take(new Ask(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, again, 10, new Cargo() {}), caller());
+        return broker.take(
+                new InferenceRequest(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, again, 10, new RequestPayload() {}),
+                caller());
     }
 
-    private Caller caller() {
-        return new Caller() {
+    private ResponseObserver caller() {
+        return new ResponseObserver() {
             @Override
-            public Object handOn() {
-                return client;
+            public Optional<Object> detachConnection() {
+                return Optional.ofNullable(client);
             }
 
             @Override
-            public boolean event(byte[] event) {
+            public boolean onEvent(byte[] event) {
                 caller.add("event");
                 return ready;
             }
 
             @Override
-            public void end() {
+            public void onCompleted() {
                 caller.add("end");
             }
 
             @Override
-            public void broken() {
+            public void onBroken() {
                 caller.add("broken");
             }
 
             @Override
-            public void refuse(Why why, double retryAfterMs) {
+            public void onRejected(Reason why, double retryAfterMs) {
                 caller.add("refuse " + why + " " + Math.round(retryAfterMs));
             }
 
             @Override
-            public void fail(Why why) {
+            public void onFailed(Reason why) {
                 caller.add("fail " + why);
             }
         };
@@ -367,7 +370,7 @@
     /** Left with its client's own time, what came just before the program's end was cut off by it. */
     @Test
     void whatComesBeforeTheEndIsAnsweredByThen() {
-        broker.endBy(loop.nowMs() + 900);
+        broker.limitDeadlines(loop.nowMs() + 900);
         take("a", send(READER));
         assertThat(((RoutingEvent.RequestArrived) told.get(0)).budgetMs()).isEqualTo(900);
         loop.until(loop.nowMs() + 1_000);
@@ -378,26 +381,26 @@
     void aRequestIsReadWrittenAndAnsweredOnce() {
         take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 7);
-        out.get(1).answer.event(new byte[1]);
-        out.get(1).answer.event(new byte[1]);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 7);
+        out.get(1).answer.onEvent(new byte[1]);
+        out.get(1).answer.onEvent(new byte[1]);
         next.add(new RejectRequest(1, 0));
-        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         loop.until(20_000);
         assertThat(caller).containsExactly("event", "event", "end");
         assertThat(told).filteredOn(e -> e instanceof RoutingEvent.FirstToken).hasSize(1);
         assertThat(((AttemptEnded) told.get(1)).cachedTokens()).isEqualTo(7);
         assertThat(((AttemptEnded) told.get(told.size() - 1)).requestClosed()).isTrue();
         assertThat(released).isEmpty();
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     @Test
     void aWholeAnswerWithoutAnEventIsServedAtOnce() {
         take("a", send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).containsExactly("end");
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     @Test
@@ -413,11 +416,11 @@
 
     @Test
     void aSlowCallerStopsTheEngineUntilItCanTakeMore() {
-        Ticket ticket = take("a", send(WRITER));
+        RequestHandle ticket = take("a", send(WRITER));
         ready = false;
-        out.get(0).answer.event(new byte[1]);
+        out.get(0).answer.onEvent(new byte[1]);
         assertThat(out.get(0).paused).isTrue();
-        ticket.writable();
+        ticket.onClientWritable();
         assertThat(out.get(0).paused).isFalse();
     }
 
@@ -428,7 +431,7 @@
         assertThat(caller).containsExactly("fail DEADLINE");
         assertThat(outcomes()).containsExactly(AttemptOutcome.TIMEOUT);
         assertThat(told).anyMatch(e -> e instanceof RoutingEvent.RequestAbandoned);
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     /** A loop that is behind comes to its timers first: an answer that was in time was given up unheard. */
@@ -438,17 +441,17 @@
         take("a", new RoutingAction.StartAttempt(1, WRITER, untilMs == 0 ? 0 : loop.now + untilMs));
         Out attempt = out.get(0);
         if (stall) {
-            attempt.answer.event(new byte[1]);
+            attempt.answer.onEvent(new byte[1]);
             loop.now += 2_900;
         }
         attempt.come = () -> {
-            attempt.answer.event(new byte[1]);
-            attempt.answer.ended(AttemptOutcome.COMPLETED, 0);
+            attempt.answer.onEvent(new byte[1]);
+            attempt.answer.onEnded(AttemptOutcome.COMPLETED, 0);
         };
         loop.until(20_000);
         assertThat(caller).endsWith("event", "end").doesNotContain("broken", "fail DEADLINE");
         assertThat(outcomes()).containsExactly(AttemptOutcome.COMPLETED);
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     /** Decided in its window, a repeat waited past it for its connection, and was a second copy that nothing drops. */
@@ -457,7 +460,7 @@
     void aKeyedRepeatIsNotWrittenPastItsWindow(double afterMs, boolean written) {
         RoutingSettings.RequestClass keyed = new RoutingSettings.RequestClass(
                 1_000, 0, 5_000, 60, 1, 0, Idempotency.IDEMPOTENCY_KEY, IdempotencyScope.ALL, 1_000);
-        broker.retune(
+        broker.changeSettings(
                 new RoutingSettings(
                         1,
                         1,
@@ -476,7 +479,7 @@
         act(send(READER));
         unsent = true;
         loop.until(1_000 + afterMs);
-        assertThat(out.get(1).answer.wanted()).isEqualTo(written);
+        assertThat(out.get(1).answer.isWanted()).isEqualTo(written);
         assertThat(out.get(1).aborted).isNotEqualTo(written);
         assertThat(outcomes()).isEqualTo(written ? List.of() : List.of(AttemptOutcome.NOT_SENT));
     }
@@ -484,9 +487,9 @@
     @Test
     void aStreamThatItsEngineHasFinishedIsPassedOnToItsEndThoughStreamsAreLeft() {
         take("a", send(WRITER));
-        out.get(0).answer.event(new byte[1]);
-        out.get(0).come = () -> out.get(0).answer.ended(AttemptOutcome.COMPLETED, 0);
-        broker.breakOff(1);
+        out.get(0).answer.onEvent(new byte[1]);
+        out.get(0).come = () -> out.get(0).answer.onEnded(AttemptOutcome.COMPLETED, 0);
+        broker.breakOffStreams(1);
         assertThat(caller).containsExactly("event", "end");
     }
 
@@ -494,56 +497,56 @@
     void theDeadlineStopsAtTheFirstEvent() {
         take("a", send(WRITER));
         for (int second = 2; second <= 60; second += 2) {
-            out.get(0).answer.event(new byte[1]);
+            out.get(0).answer.onEvent(new byte[1]);
             loop.until(second * 1_000);
         }
         assertThat(out.get(0).aborted).isFalse();
-        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
         assertThat(caller).startsWith("event").endsWith("broken");
     }
 
     /** An engine that falls silent ends nothing: without a watch its client would wait for good. */
     @Test
     void aStreamThatStopsIsBrokenOffButNotWhileItsCallerIsSlow() {
-        Ticket ticket = take("a", send(WRITER));
+        RequestHandle ticket = take("a", send(WRITER));
         ready = false;
-        out.get(0).answer.event(new byte[1]);
+        out.get(0).answer.onEvent(new byte[1]);
         loop.until(30_000);
         assertThat(caller).containsExactly("event");
-        ticket.writable();
+        ticket.onClientWritable();
         loop.until(32_900);
         assertThat(caller).containsExactly("event");
         loop.until(33_100);
         assertThat(caller).containsExactly("event", "broken");
         assertThat(out.get(0).aborted).isTrue();
         assertThat(outcomes()).containsExactly(AttemptOutcome.RESET);
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     @Test
     void aCallerThatLeavesEndsTheAttemptsAndWhatIsHeldIsLetGo() {
-        Ticket ticket = take("a", send(READER));
+        RequestHandle ticket = take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
         next.add(new ReleaseState(1));
-        ticket.gone();
+        ticket.onClientDisconnected();
         assertThat(out.get(1).aborted).isTrue();
         assertThat(outcomes()).containsExactly(AttemptOutcome.PROMPT_READ, AttemptOutcome.CANCELLED);
         assertThat(released).contains("1/a");
-        out.get(1).answer.event(new byte[1]);
-        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(1).answer.onEvent(new byte[1]);
+        out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).isEmpty();
-        assertThat(broker.remembered()).isZero();
+        assertThat(broker.openRequests()).isZero();
     }
 
     /** Seen at the sockets: a release that overtook the end of a write left the state, which was waited for, pinned. */
     @Test
     void whatAWriteWaitsForIsLetGoOnceItsConnectionHasEnded() {
-        Ticket ticket = take("a", send(READER));
+        RequestHandle ticket = take("a", send(READER));
         next.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
         next.add(new ReleaseState(1));
-        ticket.gone();
+        ticket.onClientDisconnected();
         assertThat(wire).containsExactly("cut", "release");
         loop.until(1_399);
         assertThat(wire).as("the end may still be on its way").containsExactly("cut", "release", "release");
@@ -564,19 +567,19 @@
     }
 
     @Test
-    void theFleetForgetsEnginesThatAreGone() {
-        Fleet fleet = new Fleet(List.of(new RoutingSettings.EngineKind(EngineRole.READER, 1)));
+    void theDirectoryForgetsEnginesThatAreRemoved() {
+        EngineDirectory directory = new EngineDirectory(List.of(new RoutingSettings.EngineKind(EngineRole.READER, 1)));
         for (long id = 1; id <= 1_000; id++) {
-            fleet.hear(new RoutingEvent.EndpointUpdate(
+            directory.apply(new RoutingEvent.EndpointUpdate(
                     EndpointUpdateKind.DELTA,
                     id,
                     List.of(
                             new Endpoint(id, EndpointState.READY, 0, 0, 0, 1, 0),
                             new Endpoint(id - 1, EndpointState.REMOVED, 0, 0, 0, 1, 0))));
         }
-        assertThat(fleet.size()).isEqualTo(1);
-        fleet.hear(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2_000, List.of()));
-        assertThat(fleet.size()).isZero();
+        assertThat(directory.size()).isEqualTo(1);
+        directory.apply(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.SNAPSHOT, 2_000, List.of()));
+        assertThat(directory.size()).isZero();
     }
 
     /** A crowd comes in one batch, before any timer could tell that the loop is behind. */
@@ -610,10 +613,10 @@
     @Test
     void aReadThatBrokeIsLetGoAgainAndAgain() {
         take("a", send(READER));
-        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
         assertThat(released).containsExactly("1/a");
         loop.until(3_000);
-        assertThat(broker.lettingGo()).isZero();
+        assertThat(broker.pendingReleases()).isZero();
         assertThat(released).hasSize(6);
     }
 
@@ -622,11 +625,11 @@
     void aStateIsLetGoInTimeThoughConnectionsFailToComeUp() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
         unsent = true;
         loop.until(loop.now + 400);
         atEnd.add(send(WRITER));
-        out.get(1).answer.ended(AttemptOutcome.UNREACHABLE, 0);
+        out.get(1).answer.onEnded(AttemptOutcome.UNREACHABLE, 0);
         loop.until(loop.now + 200);
         assertThat(released).isEmpty();
         loop.until(loop.now + 100);
@@ -643,7 +646,7 @@
     void aStateThatAWriteWaitsForIsKept() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.PROMPT_READ, 0);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
         loop.until(loop.now + 2_000);
         assertThat(released).isEmpty();
         assertThat(outcomes()).containsExactly(AttemptOutcome.PROMPT_READ);
@@ -653,10 +656,10 @@
     void whatABrokenReadLeftIsLetGoAfterAStreamToo() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
-        out.get(0).answer.ended(AttemptOutcome.RESET, 0);
-        out.get(1).answer.event(new byte[1]);
+        out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
+        out.get(1).answer.onEvent(new byte[1]);
         assertThat(released).as("its writer streams").isEmpty();
-        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         assertThat(released).contains("1/a");
     }
 
@@ -671,7 +674,7 @@
     /** A loop that is behind decides before it hears what has come: the news counts from when it was told. */
     @Test
     void whatIsDecidedBeforeNewsThatHasComeObeysItToo() {
-        broker.freshen(() -> list(EndpointState.DRAINING));
+        broker.setEndpointRefresh(() -> list(EndpointState.DRAINING));
         take("a", send(WRITER));
         assertThat(out).isEmpty();
         assertThat(outcomes()).containsExactly(AttemptOutcome.NOT_SENT);
@@ -703,12 +706,12 @@
     @Test
     void aStreamThatIsTheCallersIsNotCalledOffAndASecondOneIs() {
         take("a", send(WRITER), send(WRITER));
-        out.get(1).answer.event(new byte[1]);
+        out.get(1).answer.onEvent(new byte[1]);
         act(new CancelAttempt(1, 1));
         assertThat(out.get(1).aborted).isFalse();
-        out.get(0).answer.event(new byte[1]);
+        out.get(0).answer.onEvent(new byte[1]);
         assertThat(out.get(0).aborted).isTrue();
-        out.get(1).answer.ended(AttemptOutcome.COMPLETED, 0);
+        out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
         assertThat(caller).containsExactly("event", "end");
     }
 
@@ -720,29 +723,34 @@
         act(new RejectRequest(1, 250));
         take("a");
         assertThat(caller).endsWith("refuse OVERLOAD 250");
-        assertThat(broker.unanswered()).isEqualTo(3);
+        assertThat(broker.unansweredRequests()).isEqualTo(3);
     }
 
     @Test
     void aTeamsRateComesBackWithTime() {
-        Admit admit =
-                new Admit(new Budgets(9, List.of(), List.of(new Budgets.Budget(2, 9))), loop, new SplittableRandom(1));
-        Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new Cargo() {});
-        assertThat(admit.check(ask)).isNull();
-        assertThat(admit.check(ask)).isNull();
-        assertThat(admit.check(ask)).isEqualTo(new Admit.Denied(Caller.Why.BUDGET, 500));
+        AdmissionStage admission = new AdmissionStage(
+                new AdmissionLimits(9, List.of(), List.of(new AdmissionLimits.Budget(2, 9))),
+                loop,
+                new SplittableRandom(1));
+        InferenceRequest request =
+                new InferenceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new RequestPayload() {});
+        assertThat(admission.admit(request)).isEmpty();
+        assertThat(admission.admit(request)).isEmpty();
+        assertThat(admission.admit(request))
+                .contains(new AdmissionStage.Rejection(ResponseObserver.Reason.BUDGET, 500));
         loop.until(1_500);
-        assertThat(admit.check(ask)).isNull();
+        assertThat(admission.admit(request)).isEmpty();
     }
 
     /** Told the same, a crowd that is refused in one moment would come back in one moment. */
     @Test
     void adviceToACrowdDiffers() {
-        Admit admit = new Admit(Budgets.open(1), loop, new SplittableRandom(1));
-        Ask ask = new Ask("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new Cargo() {});
-        assertThat(admit.check(ask)).isNull();
+        AdmissionStage admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(1), loop, new SplittableRandom(1));
+        InferenceRequest request =
+                new InferenceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new RequestPayload() {});
+        assertThat(admission.admit(request)).isEmpty();
         double[] advice = java.util.stream.IntStream.range(0, 100)
-                .mapToDouble(i -> admit.check(ask).retryAfterMs())
+                .mapToDouble(i -> admission.admit(request).orElseThrow().retryAfterMs())
                 .sorted()
                 .toArray();
         assertThat(advice[90] - advice[10]).isGreaterThan(60);
--- a/src/test/java/maplerail/core/LifecycleTest.java
+++ b/src/test/java/maplerail/core/LifecycleTest.java
@@ -27,7 +27,7 @@
     void onlyLegalMovesAreMade(String moves, boolean legal) {
         Lifecycle lifecycle = new Lifecycle();
         Runnable all = () -> {
-            for (String to : moves.split(" ")) lifecycle.move(Phase.valueOf(to));
+            for (String to : moves.split(" ")) lifecycle.moveTo(Phase.valueOf(to));
         };
         if (legal) {
             all.run();
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-import maplerail.core.Loop;
+import maplerail.core.EventLoop;
 import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -206,14 +206,14 @@
         try {
             double[] now = {0};
             ArrayDeque<Runnable> due = new ArrayDeque<>();
-            Loop loop = new Loop() {
+            EventLoop loop = new EventLoop() {
                 @Override
                 public double nowMs() {
                     return now[0];
                 }
 
                 @Override
-                public Alarm at(double whenMs, Runnable task) {
+                public Timer at(double whenMs, Runnable task) {
                     due.add(task);
                     return () -> due.remove(task);
                 }
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -19,8 +19,8 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import maplerail.config.EngineList;
-import maplerail.core.Ask;
-import maplerail.core.Engines;
+import maplerail.core.AttemptObserver;
+import maplerail.core.InferenceRequest;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
@@ -184,7 +184,7 @@
         }
     }
 
-    /** Engines must leave clients their part of the descriptors. */
+    /** EngineTransport must leave clients their part of the descriptors. */
     @Test
     void thePoolHoldsNoMoreThanItsPart() throws Exception {
         BlockingQueue<StandIn.Exchange> waiting = World.queue();
@@ -336,7 +336,7 @@
                     List.of(new Endpoint(1, EndpointState.READY, 0, 0, 0, 1, 0)),
                     Map.of(1L, server.socketAddress())));
             HttpCargo cargo = new HttpCargo(Methods.POST, "/", List.of(), new byte[2]);
-            Ask ask = new Ask("a1", 0, 0, 0, 1, 0, 0, 5_000, 1, 0, false, 2, cargo);
+            InferenceRequest ask = new InferenceRequest("a1", 0, 0, 0, 1, 0, 0, 5_000, 1, 0, false, 2, cargo);
             double until = loop.nowMs() + 5_000;
             loop.execute(() -> {
                 client.send(1, ask, until, new Untold());
@@ -352,18 +352,18 @@
         }
     }
 
-    private static final class Untold implements Engines.Answer {
+    private static final class Untold implements AttemptObserver {
         @Override
-        public void written() {}
+        public void onSent() {}
 
         @Override
-        public void event(byte[] event) {}
+        public void onEvent(byte[] event) {}
 
         @Override
-        public void unfit() {}
+        public void onInvalidRequest() {}
 
         @Override
-        public void ended(AttemptOutcome outcome, double kept) {}
+        public void onEnded(AttemptOutcome outcome, double kept) {}
     }
 
     /** A long day replaces engines all the time. */
