--- a/src/main/java/maplerail/cli/Gateway.java
+++ b/src/main/java/maplerail/cli/Gateway.java
@@ -29,10 +29,11 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformWatch;
-import maplerail.fleet.Exchange;
+import maplerail.fleet.DropReason;
+import maplerail.fleet.EndpointView;
 import maplerail.fleet.Membership;
-import maplerail.fleet.Outliers;
-import maplerail.fleet.View;
+import maplerail.fleet.OutlierConsensus;
+import maplerail.fleet.ReaderPaceGossip;
 import maplerail.front.Door;
 import maplerail.front.Turnstile;
 import maplerail.front.admin.AdminDoor;
@@ -131,9 +132,9 @@
     private final List<Door> doors = new ArrayList<>();
     private final List<Turnstile> turnstiles = new ArrayList<>();
     private AdminDoor admin;
-    private final Exchange exchange; // what gateways of the tier tell each other of readers; null where off
-    private final View view = new View(); // the list as the module sees it
-    private Outliers outliers; // engines that fail several gateways; null as membership
+    private final ReaderPaceGossip exchange; // what gateways of the tier tell each other of readers; null where off
+    private final EndpointView view = new EndpointView(); // the list as the module sees it
+    private OutlierConsensus outliers; // engines that fail several gateways; null as membership
     private Membership membership; // which gateways of the tier are there; null until the tier can be heard
     private int live; // gateways that the module holds to share the load; 0 before the tier was heard
     private double shiftedMs;
@@ -218,7 +219,7 @@
         NodeConfig.Peers peers = config.peers();
         exchange = peers == null
                 ? null
-                : new Exchange(peers.rank(), peers.members().size(), loop.nowMs());
+                : new ReaderPaceGossip(peers.rank(), peers.members().size(), loop.nowMs());
         peerDraws = new SplittableRandom(settings.seed() ^ PEER_DRAWS);
         if (exchange != null) broker.setAttemptListener(new Told());
     }
@@ -227,14 +228,14 @@
     private final class Told implements AttemptListener {
         @Override
         public void onPromptRead(long engine, double spentMs, double tokens) {
-            exchange.read(engine, spentMs, tokens);
+            exchange.recordRead(engine, spentMs, tokens);
         }
 
         @Override
         public void onEnded(long engine, AttemptOutcome outcome) {
             boolean good = outcome == AttemptOutcome.PROMPT_READ || outcome == AttemptOutcome.COMPLETED;
             boolean failed = outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.RESET;
-            if (outliers != null && (good || failed)) outliers.outcome(engine, good, loop.nowMs());
+            if (outliers != null && (good || failed)) outliers.recordOutcome(engine, good, loop.nowMs());
         }
     }
 
@@ -287,7 +288,7 @@
             EngineList known = config.known();
             if (known != null) {
                 engines.hear(known);
-                broker.updateEndpoints(view.hear(new RoutingEvent.EndpointUpdate(
+                broker.updateEndpoints(view.apply(new RoutingEvent.EndpointUpdate(
                         EndpointUpdateKind.REMEMBERED, known.version(), known.members())));
             }
             watch.start(known);
@@ -296,7 +297,7 @@
             if (config.admin() != null) publish();
             if (handover != null) takeOver(loop.nowMs() + TAKE_OVER_MS);
             if (exchange != null) {
-                exchange.engines(broker.readers());
+                exchange.setReaders(broker.readers());
                 loop.at(loop.nowMs() + exchange.delayMs(peerDraws.nextDouble()), this::tell);
             }
         });
@@ -398,12 +399,12 @@
 
     private void hear(EngineList list) {
         engines.hear(list);
-        broker.updateEndpoints(view.hear(new RoutingEvent.EndpointUpdate(
+        broker.updateEndpoints(view.apply(new RoutingEvent.EndpointUpdate(
                 list.whole() ? EndpointUpdateKind.SNAPSHOT : EndpointUpdateKind.DELTA,
                 list.version(),
                 list.members())));
-        if (outliers != null) outliers.engines(view.kinds());
-        if (exchange != null) exchange.engines(broker.readers());
+        if (outliers != null) outliers.setEngines(view.kinds());
+        if (exchange != null) exchange.setReaders(broker.readers());
         ready();
         open();
     }
@@ -510,53 +511,60 @@
         live = peers.members().size();
         membership = new Membership(peers.rank(), live, nowMs, config.settings().seed() ^ MEMBER_DRAWS);
         loop.at(membership.dueMs(), this::probe);
-        outliers = new Outliers(peers.rank(), live, nowMs);
-        outliers.engines(view.kinds());
-        loop.at(nowMs + Outliers.PERIOD_MS * peerDraws.nextDouble(), this::compare);
+        outliers = new OutlierConsensus(peers.rank(), live, nowMs);
+        outliers.setEngines(view.kinds());
+        loop.at(nowMs + OutlierConsensus.PERIOD_MS * peerDraws.nextDouble(), this::compare);
     }
 
-    private static long dropped(Map<String, Long> reasons) {
+    private static long dropped(Map<DropReason, Long> reasons) {
         return reasons.values().stream().mapToLong(Long::longValue).sum();
     }
 
     private void hearPeer(NodeConfig.Peers peers, int rank, byte[] bytes, int length) {
         if (membership != null && length > 1 && bytes[1] == Membership.VERSION) {
-            say(peers, membership.hear(rank, bytes, length, loop.nowMs()));
-        } else if (outliers != null && length > 1 && bytes[1] == Outliers.VERSION) {
-            outliers.hear(rank, bytes, length, loop.nowMs());
+            say(peers, membership.receive(rank, bytes, length, loop.nowMs()));
+        } else if (outliers != null && length > 1 && bytes[1] == OutlierConsensus.VERSION) {
+            outliers.receive(rank, bytes, length, loop.nowMs());
         } else {
-            long before = exchange.heard();
-            broker.reportPeerReads(exchange.hear(rank, bytes, length));
-            if (exchange.heard() > before && membership != null)
-                membership.heard(rank, exchange.incarnation(rank), loop.nowMs());
+            long before = exchange.received();
+            broker.reportPeerReads(exchange.receive(rank, bytes, length));
+            if (exchange.received() > before && membership != null)
+                membership.recordHeard(rank, exchange.incarnation(rank), loop.nowMs());
         }
         if (membership != null) shift();
     }
 
-    private void say(NodeConfig.Peers peers, List<Membership.Out> out) {
-        for (Membership.Out one : out)
-            if (peerLink != null) peerLink.send(peers.members().get(one.to()), one.bytes());
+    private void say(NodeConfig.Peers peers, List<Membership.Outgoing> out) {
+        for (Membership.Outgoing one : out)
+            if (peerLink != null) peerLink.send(peers.members().get(one.recipient()), one.bytes());
     }
 
     /** Tells the tier which engines failed here, and leaves alone those that failed several. */
     private void compare() {
         if (leaving()) return;
-        byte[] datagram = outliers.due();
-        if (datagram != null && peerLink != null) peerLink.send(config.peers().all(), datagram);
-        RoutingEvent.EndpointUpdate news =
-                view.hold(outliers.decide(loop.nowMs(), g -> membership.state(g) == Membership.State.ALIVE));
-        if (news != null) {
-            for (Endpoint one : news.endpoints()) {
-                LOG.info(
-                        "{}: {}",
-                        Long.toHexString(one.engine()),
-                        one.state() == EndpointState.READY ? "used again" : "held, as it failed several gateways");
-            }
-            broker.updateEndpoints(news);
-        }
-        long[] totals = outliers.totals();
-        metrics.outliers(outliers.held(), totals[0], totals[1], dropped(outliers.dropped()));
-        loop.at(loop.nowMs() + Outliers.PERIOD_MS, this::compare);
+        outliers.nextDatagram().ifPresent(this::tellAll);
+        view.setEjected(outliers.decide(loop.nowMs(), g -> membership.state(g) == Membership.State.ALIVE))
+                .ifPresent(update -> {
+                    update.endpoints().forEach(Gateway::logEjection);
+                    broker.updateEndpoints(update);
+                });
+        metrics.outliers(
+                outliers.ejectedEngines(),
+                outliers.sent().datagrams(),
+                outliers.received(),
+                dropped(outliers.dropped()));
+        loop.at(loop.nowMs() + OutlierConsensus.PERIOD_MS, this::compare);
+    }
+
+    private static void logEjection(Endpoint endpoint) {
+        LOG.info(
+                "engine {} by the tier engine={}",
+                endpoint.state() == EndpointState.READY ? "readmitted" : "ejected",
+                Long.toHexString(endpoint.engine()));
+    }
+
+    private void tellAll(byte[] datagram) {
+        if (peerLink != null) peerLink.send(config.peers().all(), datagram);
     }
 
     /** The failure detector's period. */
@@ -589,20 +597,18 @@
 
     /** Tells the tier what this gateway saw of readers since it last did, if anything; then again a period later. */
     private void tell() {
-        byte[] datagram = exchange.due();
-        if (datagram != null && peerLink != null) peerLink.send(config.peers().all(), datagram);
-        metrics.peers(exchange.sent(), exchange.sentBytes(), exchange.heard(), dropped(exchange.dropped()));
+        exchange.nextDatagram().ifPresent(this::tellAll);
+        metrics.peers(
+                exchange.sent().datagrams(), exchange.sent().bytes(), exchange.received(), dropped(exchange.dropped()));
         if (membership != null) {
-            long[] totals = membership.totals();
-            long[] gossip = membership.sent();
             metrics.members(
                     membership.alive(),
                     membership.count(Membership.State.SUSPECT),
                     membership.count(Membership.State.DEAD),
-                    totals[0],
-                    totals[1],
-                    gossip[0],
-                    gossip[1],
+                    membership.totals().deaths(),
+                    membership.totals().refutations(),
+                    membership.sent().datagrams(),
+                    membership.sent().bytes(),
                     dropped(membership.dropped()));
         }
         if (!leaving()) loop.at(loop.nowMs() + exchange.delayMs(peerDraws.nextDouble()), this::tell);
@@ -610,7 +616,7 @@
 
     /** Guards against a reader that has to wait for the loop: it sees what the loop last put up. */
     private void publish() {
-        metrics.engines(broker.listedEngines(), broker.ejectedEngines() + view.held());
+        metrics.engines(broker.listedEngines(), broker.ejectedEngines() + view.ejectedEngines());
         loop.at(loop.nowMs() + PUBLISH_MS, this::publish);
     }
 
--- a/src/main/java/maplerail/fleet/Membership.java
+++ b/src/main/java/maplerail/fleet/Membership.java
@@ -1,117 +1,133 @@
 package maplerail.fleet;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.stream.Stream;
+import maplerail.algorithms.TokenBucket;
+import maplerail.fleet.MembershipMessage.Kind;
+import maplerail.fleet.MembershipMessage.Update;
 
 /**
- * Which gateways of the tier are there: a failure detector and its gossip, after SWIM (Das, Gupta, Motivala: "SWIM:
- * Scalable Weakly-consistent Infection-style Process Group Membership Protocol", DSN 2002) with two of Lifeguard's
- * changes (Dadgar, Phillips, Currey: "Lifeguard: Local Health Awareness for More Accurate Failure Detection", 2018): a
- * gateway that is late itself probes more slowly (local health), and whoever is suspected is told first (buddy system).
+ * Which gateways of the tier are alive: a failure detector with gossip after SWIM (Das, Gupta, Motivala: "SWIM: Scalable
+ * Weakly-consistent Infection-style Process Group Membership Protocol", DSN 2002), with two changes of Lifeguard (Dadgar,
+ * Phillips, Currey: "Lifeguard: Local Health Awareness for More Accurate Failure Detection", 2018): a gateway that is late
+ * itself probes more slowly (local health), and whoever is suspected is told first (buddy system).
  *
- * <p>Each period one gateway, chosen round robin from a shuffled list, is sent a ping; one that has been heard within the
- * period needs none, as any datagram from its address shows that it runs. Without an ack in time, three others are asked
- * to ping it; without any by the period's end it is suspect, and dead once the suspicion ran out unrefuted. A gateway that
- * hears itself suspected or dead takes a higher incarnation and says so. News ride on pings and acks, each a number of
- * times that grows with the logarithm of the tier; while there is any, two more gateways a period are pinged for it. So the cost of a period is the same for each gateway whatever the
- * tier's size, where telling all would grow with its square.
- *
- * <p>No I/O and no clock; all draws come from the seed. Tables are bounded by the tier. Times in ms.
+ * <p>Each period one gateway, chosen round robin from a shuffled list, is sent a ping; one that was heard within the period
+ * needs none. Without an ack in time, a few others are asked to ping it; without any by the period's end it is suspect, and
+ * dead once the suspicion has lasted unrefuted. A gateway that learns that it is suspected or dead takes a higher incarnation
+ * and tells so. Changes ride on pings and acks; while there are any, a few more gateways a period are pinged. The cost of a
+ * period is the same for each gateway whatever the size of the tier.
  */
 public final class Membership {
-    /** What is held of a gateway. */
+    /** What is believed of a gateway; the order is part of the datagrams. */
     public enum State {
+        /** It runs. */
         ALIVE,
+        /** It did not answer. */
         SUSPECT,
+        /** It did not refute a suspicion in time. */
         DEAD
     }
 
-    /** A datagram to send to a gateway of the tier. */
-    public record Out(int to, byte[] bytes) {}
+    /** A datagram to send to one gateway of the tier. */
+    public record Outgoing(int recipient, byte[] bytes) {}
+
+    /** How often this gateway declared another dead, refuted what was said of itself, and began a suspicion. */
+    public record Totals(long deaths, long refutations, long suspicions) {}
 
-    /** Between two probes of a gateway that is in good health itself. */
+    /** The time between two probes of a gateway that is healthy itself. */
     public static final double PERIOD_MS = 500;
+
     /** The version byte of its datagrams. */
-    public static final int VERSION = Gossip.VERSION;
-
-    private static final double ACK_SHARE = 0.4; // of a period, for a direct ack; the rest is for indirect ones
-    private static final int HELPERS = 3; // asked to ping for us (SWIM's k)
-    private static final double SUSPICION = 12; // periods, times log10 of the tier (at least 1), to refute one
-    private static final int MOST_LATE = 8; // of the local health multiplier
-    private static final double RETRANSMIT =
-            4; // times log10 of the tier, rounded up: how often a piece of news is sent
-    private static final int FANOUT = 2; // gateways pinged in a period for the sake of news alone
-    private static final int DEAD_EVERY = 4; // periods: a ping to one held dead, so that a healed cut is seen
-    private static final int SUSPECTS_TOLD = 3; // a period, beside the ping that is due
-    private static final int MOST_RELAYS = 2_048; // asked of us and not answered yet
-    private static final double FLOOD_PER_S = 40; // datagrams from one gateway that are looked at
-    private static final double STALL_PERIODS = 3; // past its time, that a tick means that we had stopped ourselves
-
-    private final class Peer {
+    public static final int VERSION = MembershipMessage.FORMAT.version();
+
+    private static final double DIRECT_ACK_SHARE = 0.4; // of a period; the rest is for indirect acks
+    private static final int INDIRECT_PROBES = 3; // SWIM's k
+    private static final double SUSPICION_PERIODS = 12; // times log10 of the tier, at least 1
+    private static final int MAX_LOCAL_HEALTH = 8;
+    private static final int NEWS_FANOUT = 2; // gateways pinged in a period for the sake of news alone
+    private static final int DEAD_PROBE_PERIODS = 4; // between two pings to a dead gateway: a partition may have healed
+    private static final int SUSPECTS_PINGED = 3; // in a period, beside the probe
+    private static final int MAX_RELAYS = 2_048; // indirect probes that are not answered yet
+    private static final double MAX_DATAGRAMS_PER_MS = 0.04; // of one sender
+    private static final double DATAGRAM_BURST = 40;
+    private static final double STALL_PERIODS = 3; // a tick that is later means that this process was stopped
+    private static final double ALIVE_PERIODS = 2; // after a datagram, for which its sender is not declared dead
+    private static final int NOBODY = -1;
+
+    private static final class Member {
         final int rank;
+        final TokenBucket datagrams = new TokenBucket(DATAGRAM_BURST, 0);
         State state = State.ALIVE;
-        /** 0: never heard of. */
+        /** 0 if nothing was heard of it. */
         long incarnation;
 
-        double heardMs = Double.NEGATIVE_INFINITY;
+        double lastHeardMs = Double.NEGATIVE_INFINITY;
         double suspectedMs;
-        double budget = FLOOD_PER_S;
-        double budgetMs;
 
-        Peer(int rank) {
+        Member(int rank) {
             this.rank = rank;
         }
     }
 
+    /** An indirect probe that was asked for. */
     private record Relay(int origin, int sequence, int subject) {}
 
     private final int rank;
-    private final Peer[] peers;
+    private final Member[] members;
     private final SplittableRandom random;
-    private final List<Integer> order = new ArrayList<>();
-    private final Map<Integer, Integer> news =
-            new LinkedHashMap<>(); // rank: how often its state was sent since it changed
-    private final LinkedHashMap<Integer, Relay> relays = new LinkedHashMap<>();
-    private final List<Integer> carried = new ArrayList<>(); // news that went with the probe that is out
-    private final Map<String, Long> dropped = new TreeMap<>();
+    private final MembershipNews news;
+    private final List<Integer> probeOrder = new ArrayList<>();
+    private final Map<Integer, Relay> relaysBySequence = new LinkedHashMap<>();
+    private final List<Integer> newsOnProbe = new ArrayList<>();
+    private final DropCounts dropped = new DropCounts();
     private long incarnation;
     private int sequence;
-    private int late;
+    /** Lifeguard's local health multiplier: 0 if this gateway is healthy. */
+    private int localHealth;
+
     private int periods;
-    private double periodAtMs;
+    private double periodStartMs;
     private double dueMs;
-    private int probed = -1;
+    private int probeTarget = NOBODY;
     private int probeSequence;
-    private double anyHeardMs;
-    private boolean acked;
-    private boolean asked;
+    private boolean probeAcked;
+    private boolean indirectProbesSent;
+    private double lastHeardMs;
     private long deaths;
     private long refutations;
     private long suspicions;
-    private long sent;
-    private long sentBytes;
+    private Traffic sent = Traffic.NONE;
 
     /**
-     * For the gateway of {@code rank} in a tier of {@code tier}, started at {@code startedMs} (Unix time), which is its
-     * first incarnation: one that is started anew has a higher one than before. All others are held to be alive until
-     * something says otherwise.
+     * Creates the view of one gateway. All others are believed to be alive until something says otherwise.
+     *
+     * @param rank the gateway's place in the tier
+     * @param tierSize the number of gateways of the tier
+     * @param startedMs the start of the process in Unix time, its first incarnation; a restart has a higher one
+     * @param seed the source of all random draws
      */
-    public Membership(int rank, int tier, double startedMs, long seed) {
-        if (tier < 1 || rank < 0 || rank >= tier) throw new IllegalArgumentException("rank " + rank + " of " + tier);
+    public Membership(int rank, int tierSize, double startedMs, long seed) {
+        if (tierSize < 1 || rank < 0 || rank >= tierSize) {
+            throw new IllegalArgumentException("rank " + rank + " of " + tierSize);
+        }
         this.rank = rank;
         random = new SplittableRandom(seed);
-        incarnation = Math.max(1, (long) startedMs & 0xffffffffL);
-        peers = new Peer[tier];
-        for (int i = 0; i < tier; i++) peers[i] = new Peer(i);
-        news.put(rank, 0); // for those that hold the one before it to be dead
+        incarnation = Math.max(1, SerialNumbers.incarnationOf(startedMs));
+        members = new Member[tierSize];
+        Arrays.setAll(members, Member::new);
+        news = new MembershipNews(tierSize);
+        news.add(rank); // for those that believe the process before this one to be dead
         dueMs = startedMs + PERIOD_MS * random.nextDouble();
-        periodAtMs = dueMs;
+        periodStartMs = dueMs;
     }
 
     /** When {@link #tick} is due next. */
@@ -119,303 +135,346 @@
         return dueMs;
     }
 
-    /** What is held of a gateway; its own is always alive. */
-    public State state(int of) {
-        return peers[of].state;
+    /** What is believed of a gateway; this one is always alive. */
+    public State state(int ofRank) {
+        return members[ofRank].state;
+    }
+
+    /** The number of gateways in a state. */
+    public int count(State state) {
+        return (int) in(state).count();
     }
 
-    /** Gateways held to be alive, this one included; a suspect is not. */
+    /** The number of gateways that are alive, this one included; a suspect is not. */
     public int alive() {
-        int count = 0;
-        for (Peer peer : peers) if (peer.state == State.ALIVE) count++;
-        return count;
+        return count(State.ALIVE);
     }
 
     /**
-     * Gateways that share the load, as budgets are to reckon: those alive. Guards against a tier that is cut in parts, each
-     * of which would take the whole for itself: never fewer than half.
+     * The number of gateways that share the load, as limits are to be divided by: those alive, but half of the tier at least.
+     * Otherwise each part of a tier that is partitioned would take the whole for itself.
      */
     public int sharing() {
-        return Math.max(alive(), (peers.length + 1) / 2);
+        return Math.max(alive(), (members.length + 1) / 2);
     }
 
-    /** Gateways in a state. */
-    public int count(State state) {
-        int count = 0;
-        for (Peer peer : peers) if (peer.state == state) count++;
-        return count;
+    /** What has happened so far. */
+    public Totals totals() {
+        return new Totals(deaths, refutations, suspicions);
     }
 
-    /** How often a gateway was declared dead here, this one refuted what was said of it, and suspicions began here. */
-    public long[] totals() {
-        return new long[] {deaths, refutations, suspicions};
+    /** The datagrams that were sent. */
+    public Traffic sent() {
+        return sent;
     }
 
-    /** Datagrams sent, and their bytes. */
-    public long[] sent() {
-        return new long[] {sent, sentBytes};
+    /** The datagrams that were dropped, by reason. */
+    public Map<DropReason, Long> dropped() {
+        return dropped.byReason();
     }
 
-    /** Datagrams dropped, by reason: malformed as {@link Datagram}, {@code stranger}, {@code spoofed}, {@code self}, {@code flood}. */
-    public Map<String, Long> dropped() {
-        return Map.copyOf(dropped);
+    private Stream<Member> in(State state) {
+        return Arrays.stream(members).filter(member -> member.state == state);
     }
 
-    private double period() {
-        return PERIOD_MS * (1 + late);
+    // ---- Failure detector ----
+
+    /** Does what is due at a time that is not before {@link #dueMs}; returns the datagrams to send. */
+    public List<Outgoing> tick(double nowMs) {
+        if (nowMs > dueMs + STALL_PERIODS * periodMs()) recoverFromStall(nowMs);
+        if (!indirectProbesSent && probeTarget != NOBODY) return probeIndirectly();
+        if (probeTarget != NOBODY) judgeProbe(nowMs);
+        expireSuspicions(nowMs);
+        return beginPeriod(nowMs);
     }
 
-    /** What is due at a time that is not before {@link #dueMs}: the datagrams to send. */
-    public List<Out> tick(double nowMs) {
-        List<Out> out = new ArrayList<>();
-        if (nowMs > dueMs + STALL_PERIODS * period()) stalled(nowMs);
-        if (!asked && probed >= 0) {
-            asked = true;
-            if (!acked && peers[probed].heardMs < periodAtMs) {
-                for (int helper : some(HELPERS, probed))
-                    out.add(out(helper, Gossip.Kind.PING_REQ, probeSequence, probed));
-            }
-            dueMs = periodAtMs + period();
-            return out;
-        }
-        if (probed >= 0) judge(nowMs);
-        expire(nowMs);
-        begin(nowMs, out);
-        return out;
-    }
-
-    /** Guards against a process that was stopped: what it did not hear meanwhile says nothing of the others. */
-    private void stalled(double nowMs) {
-        double lost = nowMs - dueMs;
-        for (Peer peer : peers) if (peer.state == State.SUSPECT) peer.suspectedMs += lost;
-        probed = -1;
-        late = Math.min(MOST_LATE, late + 1);
-    }
-
-    private void judge(double nowMs) {
-        Peer peer = peers[probed];
-        if (acked || peer.heardMs >= periodAtMs) {
-            late = Math.max(0, late - 1);
-        } else {
-            // Who hears nobody at all is late or cut off itself; else a fleet of which half died would slow down its
-            // search.
-            if (anyHeardMs < periodAtMs) late = Math.min(MOST_LATE, late + 1);
-            if (peer.state == State.ALIVE) {
-                suspicions++;
-                set(peer, State.SUSPECT, peer.incarnation, nowMs);
+    private double periodMs() {
+        return PERIOD_MS * (1 + localHealth);
+    }
+
+    /** What was not heard while this process was stopped says nothing of the others. */
+    private void recoverFromStall(double nowMs) {
+        double lostMs = nowMs - dueMs;
+        in(State.SUSPECT).forEach(member -> member.suspectedMs += lostMs);
+        probeTarget = NOBODY;
+        worsenLocalHealth();
+    }
+
+    private void worsenLocalHealth() {
+        localHealth = Math.min(MAX_LOCAL_HEALTH, localHealth + 1);
+    }
+
+    private List<Outgoing> probeIndirectly() {
+        List<Outgoing> outgoing = new ArrayList<>();
+        indirectProbesSent = true;
+        if (!isProbeAnswered()) {
+            for (int helper : pickAlive(INDIRECT_PROBES, probeTarget)) {
+                outgoing.add(message(helper, Kind.PING_REQ, probeSequence, probeTarget));
             }
         }
+        dueMs = periodStartMs + periodMs();
+        return outgoing;
     }
 
-    private void begin(double nowMs, List<Out> out) {
-        periodAtMs = nowMs;
-        asked = false;
-        acked = false;
-        probed = next(nowMs);
-        probeSequence = sequence = sequence + 1 & 0xffff;
-        if (probed >= 0) out.add(out(probed, Gossip.Kind.PING, probeSequence, probed));
-        if (!news.isEmpty()) {
-            for (int other : some(FANOUT, probed)) out.add(out(other, Gossip.Kind.PING, nextSequence(), other));
+    private boolean isProbeAnswered() {
+        return probeAcked || members[probeTarget].lastHeardMs >= periodStartMs;
+    }
+
+    private void judgeProbe(double nowMs) {
+        Member member = members[probeTarget];
+        if (isProbeAnswered()) {
+            localHealth = Math.max(0, localHealth - 1);
+            return;
         }
-        int told = 0;
-        for (Peer peer : peers) {
-            if (peer.state == State.SUSPECT && peer.rank != probed && told++ < SUSPECTS_TOLD) {
-                out.add(out(peer.rank, Gossip.Kind.PING, nextSequence(), peer.rank));
-            }
+        // Only who hears nobody at all is late itself: else a tier of which half died would slow down its search.
+        if (lastHeardMs < periodStartMs) worsenLocalHealth();
+        if (member.state == State.ALIVE) {
+            suspicions++;
+            change(member, State.SUSPECT, member.incarnation, nowMs);
         }
-        if (++periods % DEAD_EVERY == 0) {
-            List<Integer> dead = new ArrayList<>();
-            for (Peer peer : peers) if (peer.state == State.DEAD) dead.add(peer.rank);
-            if (!dead.isEmpty())
-                out.add(out(dead.get(random.nextInt(dead.size())), Gossip.Kind.PING, nextSequence(), -1));
+    }
+
+    private void expireSuspicions(double nowMs) {
+        double limitMs = SUSPICION_PERIODS * Math.max(1, Math.log10(members.length)) * PERIOD_MS;
+        for (Member member : members) {
+            if (member.state != State.SUSPECT || nowMs < member.suspectedMs + limitMs) continue;
+            deaths++;
+            change(member, State.DEAD, member.incarnation, nowMs);
         }
-        dueMs = nowMs + (probed < 0 ? period() : ACK_SHARE * period());
+    }
+
+    private List<Outgoing> beginPeriod(double nowMs) {
+        List<Outgoing> outgoing = new ArrayList<>();
+        periodStartMs = nowMs;
+        indirectProbesSent = false;
+        probeAcked = false;
+        probeTarget = nextProbeTarget(nowMs);
+        probeSequence = nextSequence();
+        if (probeTarget != NOBODY) outgoing.add(message(probeTarget, Kind.PING, probeSequence, probeTarget));
+        if (!news.isEmpty()) pickAlive(NEWS_FANOUT, probeTarget).forEach(other -> outgoing.add(ping(other)));
+        in(State.SUSPECT)
+                .filter(member -> member.rank != probeTarget)
+                .limit(SUSPECTS_PINGED)
+                .forEach(member -> outgoing.add(ping(member.rank)));
+        periods++;
+        if (periods % DEAD_PROBE_PERIODS == 0) probeDead(outgoing);
+        dueMs = nowMs + (probeTarget == NOBODY ? periodMs() : DIRECT_ACK_SHARE * periodMs());
+        return outgoing;
+    }
+
+    private void probeDead(List<Outgoing> outgoing) {
+        List<Member> dead = in(State.DEAD).toList();
+        if (dead.isEmpty()) return;
+        int recipient = dead.get(random.nextInt(dead.size())).rank;
+        outgoing.add(message(recipient, Kind.PING, nextSequence(), NOBODY));
     }
 
     private int nextSequence() {
-        return sequence = sequence + 1 & 0xffff;
+        sequence = SerialNumbers.nextSequence(sequence);
+        return sequence;
     }
 
-    /** The next to probe, round robin over a list that is shuffled anew each time round; -1 where nobody needs it. */
-    private int next(double nowMs) {
-        for (int tried = 0; tried < peers.length; tried++) {
-            if (order.isEmpty()) {
-                for (int i = 0; i < peers.length; i++) if (i != rank) order.add(i);
-                Collections.shuffle(order, new Random(random.nextLong()));
-            }
-            if (order.isEmpty()) return -1;
-            Peer peer = peers[order.remove(order.size() - 1)];
-            if (peer.state != State.DEAD && peer.heardMs < nowMs - period()) return peer.rank;
+    /** The next gateway to probe, round robin over a list that is shuffled each time round; nobody if none needs it. */
+    private int nextProbeTarget(double nowMs) {
+        for (int i = 0; i < members.length; i++) {
+            if (probeOrder.isEmpty()) shuffleProbeOrder();
+            if (probeOrder.isEmpty()) return NOBODY;
+            Member member = members[probeOrder.remove(probeOrder.size() - 1)];
+            if (member.state != State.DEAD && member.lastHeardMs < nowMs - periodMs()) return member.rank;
         }
-        return -1;
+        return NOBODY;
     }
 
-    private List<Integer> some(int most, int not) {
-        List<Integer> out = new ArrayList<>();
-        for (Peer peer : peers)
-            if (peer.rank != rank && peer.rank != not && peer.state == State.ALIVE) out.add(peer.rank);
-        Collections.shuffle(out, new Random(random.nextLong()));
-        return out.subList(0, Math.min(most, out.size()));
+    private void shuffleProbeOrder() {
+        for (Member member : members) {
+            if (member.rank != rank) probeOrder.add(member.rank);
+        }
+        Collections.shuffle(probeOrder, new Random(random.nextLong()));
     }
 
-    private void expire(double nowMs) {
-        double limit = SUSPICION * Math.max(1, Math.log10(peers.length)) * PERIOD_MS;
-        for (Peer peer : peers) {
-            if (peer.state != State.SUSPECT || nowMs < peer.suspectedMs + limit) continue;
-            deaths++;
-            set(peer, State.DEAD, peer.incarnation, nowMs);
-        }
+    private List<Integer> pickAlive(int limit, int except) {
+        List<Integer> ranks = new ArrayList<>();
+        in(State.ALIVE).map(member -> member.rank).forEach(ranks::add);
+        ranks.removeIf(other -> other == rank || other == except);
+        Collections.shuffle(ranks, new Random(random.nextLong()));
+        return ranks.subList(0, Math.min(limit, ranks.size()));
     }
 
-    private void set(Peer peer, State state, long known, double nowMs) {
-        if (state == State.SUSPECT && peer.state != State.SUSPECT) {
-            peer.suspectedMs = nowMs;
+    // ---- Dissemination ----
+
+    private void change(Member member, State state, long knownIncarnation, double nowMs) {
+        if (state == State.SUSPECT && member.state != State.SUSPECT) member.suspectedMs = nowMs;
+        // That a gateway which was believed to be alive unheard is alive indeed is not passed on: a tier that starts
+        // would tell nothing else.
+        boolean isNews = member.state != state || member.incarnation != 0;
+        member.state = state;
+        member.incarnation = knownIncarnation;
+        if (isNews) news.add(member.rank);
+    }
+
+    private Outgoing ping(int recipient) {
+        return message(recipient, Kind.PING, nextSequence(), recipient);
+    }
+
+    private Outgoing message(int recipient, Kind kind, int number, int subject) {
+        // What a probe carries counts as sent once it is answered, as its target may be dead.
+        boolean isProbe = kind == Kind.PING && number == probeSequence && subject == probeTarget;
+        List<Update> updates = updatesFor(recipient);
+        if (isProbe) newsOnProbe.clear();
+        for (Update update : updates) {
+            boolean aboutRecipient = update.rank() == recipient && members[recipient].state != State.ALIVE;
+            if (aboutRecipient) continue;
+            if (isProbe) newsOnProbe.add(update.rank());
+            else news.recordSent(update.rank());
         }
-        // That one who was held to be alive unheard is so indeed is no news: a tier that starts would tell nothing
-        // else.
-        boolean told = peer.state != state || peer.incarnation != 0;
-        peer.state = state;
-        peer.incarnation = known;
-        if (!told) return;
-        news.remove(peer.rank);
-        news.put(peer.rank, 0);
-    }
-
-    private Out out(int to, Gossip.Kind kind, int number, int subject) {
-        // Guards against news that go to the dead: what a probe carried counts as sent once it was answered.
-        boolean probe = kind == Gossip.Kind.PING && number == probeSequence && subject == probed;
-        if (probe) carried.clear();
-        byte[] bytes = Gossip.encode(new Gossip.Message(
-                rank, incarnation, kind, number, subject & 0xffff, updates(to, probe ? carried : null)));
-        sent++;
-        sentBytes += bytes.length;
-        return new Out(to, bytes);
-    }
-
-    /** The freshest news; first of all what is held of the recipient, where that is not good. */
-    private List<Gossip.Update> updates(int to, List<Integer> later) {
-        List<Gossip.Update> out = new ArrayList<>();
-        Peer recipient = peers[to];
-        if (recipient.state != State.ALIVE) out.add(new Gossip.Update(to, recipient.state, recipient.incarnation));
-        List<Map.Entry<Integer, Integer>> freshest = new ArrayList<>(news.entrySet());
-        freshest.sort(Map.Entry.comparingByValue());
-        for (Map.Entry<Integer, Integer> one : freshest) {
-            if (out.size() == Gossip.MOST_UPDATES) break;
-            if (one.getKey() == to && recipient.state != State.ALIVE) continue;
-            Peer peer = peers[one.getKey()];
-            out.add(new Gossip.Update(peer.rank, peer.state, peer.rank == rank ? incarnation : peer.incarnation));
-            if (later == null) told(one.getKey());
-            else later.add(one.getKey());
+        int encodedSubject = subject & 0xffff;
+        byte[] bytes = new MembershipMessage(rank, incarnation, kind, number, encodedSubject, updates).encode();
+        sent = sent.plus(bytes);
+        return new Outgoing(recipient, bytes);
+    }
+
+    /** First of all what is believed of the recipient, where that is not good; then the news that were sent least often. */
+    private List<Update> updatesFor(int recipient) {
+        List<Update> updates = new ArrayList<>();
+        boolean warned = members[recipient].state != State.ALIVE;
+        if (warned) updates.add(updateOf(members[recipient]));
+        for (int subject : news.leastSentFirst()) {
+            if (updates.size() == MembershipMessage.FORMAT.maxEntries()) break;
+            if (subject != recipient || !warned) updates.add(updateOf(members[subject]));
         }
-        return out;
+        return updates;
     }
 
-    private void told(int of) {
-        Integer times = news.get(of);
-        if (times == null) return;
-        if (times + 1 >= RETRANSMIT * Math.ceil(Math.log10(peers.length + 1))) news.remove(of);
-        else news.put(of, times + 1);
+    private Update updateOf(Member member) {
+        return new Update(member.rank, member.state, member.rank == rank ? incarnation : member.incarnation);
     }
 
-    /** A datagram of another kind came from a gateway's own address: it runs, under that incarnation. */
-    public void heard(int from, long told, double nowMs) {
-        if (from < 0 || from >= peers.length || from == rank) return;
-        peers[from].heardMs = nowMs;
-        anyHeardMs = nowMs;
-        if (newer(told, peers[from].incarnation)) set(peers[from], State.ALIVE, told, nowMs);
+    // ---- Datagrams that arrive ----
+
+    /** Notes that a datagram of another kind came from a gateway: it runs, under that incarnation. */
+    public void recordHeard(int sender, long senderIncarnation, double nowMs) {
+        if (sender < 0 || sender >= members.length || sender == rank) return;
+        Member member = members[sender];
+        member.lastHeardMs = nowMs;
+        lastHeardMs = nowMs;
+        if (isNewer(senderIncarnation, member.incarnation)) change(member, State.ALIVE, senderIncarnation, nowMs);
     }
 
-    /** A datagram of version 2 from the gateway of rank {@code from} (-1: not of the tier): the datagrams to send for it. */
-    public List<Out> hear(int from, byte[] bytes, int length, double nowMs) {
-        if (from < 0 || from >= peers.length) return drop("stranger");
-        Gossip.Message message;
+    /**
+     * Takes in a datagram.
+     *
+     * @param sender the rank of the gateway from whose address it came; -1 for an address that is of none
+     * @return the datagrams to send in answer
+     */
+    public List<Outgoing> receive(int sender, byte[] bytes, int length, double nowMs) {
+        if (sender < 0 || sender >= members.length) return drop(DropReason.UNKNOWN_SENDER);
+        MembershipMessage message;
         try {
-            message = Gossip.decode(bytes, length);
-        } catch (Datagram.Malformed e) {
-            return drop(e.reason);
-        }
-        if (message.rank() != from) return drop("spoofed");
-        if (from == rank) return drop("self");
-        Peer sender = peers[from];
-        sender.budget = Math.min(FLOOD_PER_S, sender.budget + (nowMs - sender.budgetMs) * FLOOD_PER_S / 1_000) - 1;
-        sender.budgetMs = nowMs;
-        if (sender.budget < 0) {
-            sender.budget = 0;
-            return drop("flood");
+            message = MembershipMessage.decode(bytes, length);
+        } catch (MalformedDatagramException e) {
+            return drop(e.reason());
         }
-        heard(from, message.incarnation(), nowMs);
-        List<Out> out = new ArrayList<>();
-        long before = refutations;
-        for (Gossip.Update update : message.updates()) learn(update, nowMs);
-        if (refutations > before) {
-            for (int other : some(HELPERS, from)) out.add(out(other, Gossip.Kind.PING, nextSequence(), other));
+        if (message.rank() != sender) return drop(DropReason.SPOOFED);
+        if (sender == rank) return drop(DropReason.OWN);
+        TokenBucket datagrams = members[sender].datagrams;
+        datagrams.refill(nowMs, MAX_DATAGRAMS_PER_MS, DATAGRAM_BURST);
+        if (!datagrams.takeOrDrain()) return drop(DropReason.FLOOD);
+        recordHeard(sender, message.incarnation(), nowMs);
+        return handle(message, nowMs);
+    }
+
+    private List<Outgoing> drop(DropReason reason) {
+        dropped.add(reason);
+        return List.of();
+    }
+
+    private List<Outgoing> handle(MembershipMessage message, double nowMs) {
+        List<Outgoing> outgoing = new ArrayList<>();
+        long refutationsBefore = refutations;
+        for (Update update : message.updates()) learn(update, nowMs);
+        if (refutations > refutationsBefore) {
+            pickAlive(INDIRECT_PROBES, message.rank()).forEach(other -> outgoing.add(ping(other)));
         }
         switch (message.kind()) {
-            case PING -> out.add(out(from, Gossip.Kind.ACK, message.sequence(), rank));
-            case ACK -> ack(message, nowMs, out);
-            case PING_REQ -> {
-                int subject = message.subject();
-                if (subject >= peers.length || subject == rank) break;
-                int number = nextSequence();
-                relays.put(number, new Relay(from, message.sequence(), subject));
-                if (relays.size() > MOST_RELAYS)
-                    relays.remove(relays.keySet().iterator().next());
-                out.add(out(subject, Gossip.Kind.PING, number, subject));
-            }
+            case PING -> outgoing.add(message(message.rank(), Kind.ACK, message.sequence(), rank));
+            case ACK -> handleAck(message, outgoing);
+            case PING_REQ -> relayPing(message, outgoing);
         }
-        return out;
+        return outgoing;
+    }
+
+    private void relayPing(MembershipMessage message, List<Outgoing> outgoing) {
+        int subject = message.subject();
+        if (subject >= members.length || subject == rank) return;
+        int number = nextSequence();
+        relaysBySequence.put(number, new Relay(message.rank(), message.sequence(), subject));
+        if (relaysBySequence.size() > MAX_RELAYS) removeEldestRelay();
+        outgoing.add(message(subject, Kind.PING, number, subject));
+    }
+
+    private void removeEldestRelay() {
+        Iterator<Integer> eldest = relaysBySequence.keySet().iterator();
+        eldest.next();
+        eldest.remove();
     }
 
-    private void ack(Gossip.Message message, double nowMs, List<Out> out) {
-        Relay relay = message.subject() == message.rank() ? relays.get(message.sequence()) : null;
-        if (relay != null && relay.subject == message.rank()) {
-            relays.remove(message.sequence());
-            out.add(out(relay.origin, Gossip.Kind.ACK, relay.sequence, relay.subject));
+    private void handleAck(MembershipMessage message, List<Outgoing> outgoing) {
+        boolean direct = message.subject() == message.rank();
+        Relay relay = direct ? relaysBySequence.get(message.sequence()) : null;
+        if (relay != null && relay.subject() == message.rank()) {
+            relaysBySequence.remove(message.sequence());
+            outgoing.add(message(relay.origin(), Kind.ACK, relay.sequence(), relay.subject()));
         }
-        if (message.sequence() != probeSequence || message.subject() != probed || acked) return;
-        acked = true;
-        if (message.rank() == probed) carried.forEach(this::told);
+        if (message.sequence() != probeSequence || message.subject() != probeTarget || probeAcked) return;
+        probeAcked = true;
+        if (message.rank() == probeTarget) newsOnProbe.forEach(news::recordSent);
     }
 
-    /** SWIM's order of what overrides what; of itself a gateway takes nothing bad, but refutes it. */
-    private void learn(Gossip.Update update, double nowMs) {
-        if (update.rank() >= peers.length) return;
+    /** SWIM's order of what overrides what; what is bad of this gateway itself is refuted. */
+    private void learn(Update update, double nowMs) {
+        if (update.rank() >= members.length) return;
         if (update.rank() == rank) {
-            boolean bad = update.state() != State.ALIVE && !newer(incarnation, update.incarnation());
-            if (!bad && !newer(update.incarnation(), incarnation)) return;
-            incarnation = Math.max(1, update.incarnation() + 1 & 0xffffffffL);
-            if (bad) refutations++;
-            if (bad) late = Math.min(MOST_LATE, late + 1);
-            set(peers[rank], State.ALIVE, incarnation, nowMs);
+            learnOfItself(update, nowMs);
             return;
         }
-        Peer peer = peers[update.rank()];
-        boolean newer = newer(update.incarnation(), peer.incarnation);
-        boolean same = update.incarnation() == peer.incarnation;
+        Member member = members[update.rank()];
+        boolean newer = isNewer(update.incarnation(), member.incarnation);
+        boolean same = update.incarnation() == member.incarnation;
         switch (update.state()) {
             case ALIVE -> {
-                if (newer) set(peer, State.ALIVE, update.incarnation(), nowMs);
+                if (newer) change(member, State.ALIVE, update.incarnation(), nowMs);
             }
             case SUSPECT -> {
-                if (newer || same && peer.state == State.ALIVE) set(peer, State.SUSPECT, update.incarnation(), nowMs);
+                boolean suspected = newer || same && member.state == State.ALIVE;
+                if (suspected) change(member, State.SUSPECT, update.incarnation(), nowMs);
             }
             case DEAD -> {
-                if (!newer && !same || peer.state == State.DEAD) return;
-                // Guards against one that lies, or was cut off alone: whom we heard just now is suspect, no more.
-                boolean justHeard = nowMs - peer.heardMs < 2 * period();
-                if (justHeard && peer.state == State.SUSPECT) return;
-                set(peer, justHeard ? State.SUSPECT : State.DEAD, update.incarnation(), nowMs);
-                if (!justHeard) deaths++;
+                if ((newer || same) && member.state != State.DEAD) learnOfDeath(member, update, nowMs);
             }
         }
     }
 
-    private static boolean newer(long a, long than) {
-        return a != 0 && (than == 0 || Heard.after(a, than, 32));
+    private void learnOfItself(Update update, double nowMs) {
+        boolean bad = update.state() != State.ALIVE && !isNewer(incarnation, update.incarnation());
+        if (!bad && !isNewer(update.incarnation(), incarnation)) return;
+        incarnation = Math.max(1, SerialNumbers.nextIncarnation(update.incarnation()));
+        if (bad) {
+            refutations++;
+            worsenLocalHealth();
+        }
+        change(members[rank], State.ALIVE, incarnation, nowMs);
     }
 
-    private List<Out> drop(String reason) {
-        dropped.merge(reason, 1L, Long::sum);
-        return List.of();
+    /** A gateway that was heard just now is only suspected: whoever says that it is dead may be cut off, or lie. */
+    private void learnOfDeath(Member member, Update update, double nowMs) {
+        boolean justHeard = nowMs - member.lastHeardMs < ALIVE_PERIODS * periodMs();
+        if (justHeard && member.state == State.SUSPECT) return;
+        change(member, justHeard ? State.SUSPECT : State.DEAD, update.incarnation(), nowMs);
+        if (!justHeard) deaths++;
+    }
+
+    private static boolean isNewer(long incarnation, long than) {
+        return incarnation != 0
+                && (than == 0 || SerialNumbers.isAfter(incarnation, than, SerialNumbers.INCARNATION_BITS));
     }
 }
--- a/src/main/java/maplerail/lab/Emulator.java
+++ b/src/main/java/maplerail/lab/Emulator.java
@@ -14,10 +14,10 @@
 import maplerail.config.ConfigException;
 import maplerail.config.EngineIds;
 import maplerail.config.SettingsReader;
-import maplerail.fleet.Exchange;
+import maplerail.fleet.EndpointView;
 import maplerail.fleet.Membership;
-import maplerail.fleet.Outliers;
-import maplerail.fleet.View;
+import maplerail.fleet.OutlierConsensus;
+import maplerail.fleet.ReaderPaceGossip;
 import maplerail.lab.Ledger.End;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
@@ -32,7 +32,7 @@
 
 /**
  * A discrete-event model of an experiment in virtual time: every gateway runs the real decision module ({@link D2lpmPolicy}), the
- * real {@link Exchange} and {@link Membership}; engines, links, clients and discovery are models of what PROTOCOL says of
+ * real {@link ReaderPaceGossip} and {@link Membership}; engines, links, clients and discovery are models of what PROTOCOL says of
  * them. One thread; the same file gives the same result. It reaches sizes that sockets don't (1,000 gateways over 1,000
  * engines), and leaves out what sockets cost: a gateway's processor time, connections, descriptors.
  *
@@ -316,10 +316,10 @@
         final int zone;
         final RoutingSettings settings;
         final RoutingPolicy module;
-        final Exchange exchange;
+        final ReaderPaceGossip exchange;
         final Membership membership;
-        final Outliers outliers;
-        final View view = new View();
+        final OutlierConsensus outliers;
+        final EndpointView view = new EndpointView();
         final Map<Long, Try> open = new LinkedHashMap<>();
         final Map<Long, Double> used = new HashMap<>();
         boolean up = true;
@@ -333,21 +333,22 @@
                     .settings();
             module = new D2lpmPolicy(settings);
             live = gates.length;
-            tell(view.hear(new RoutingEvent.EndpointUpdate(
+            tell(view.apply(new RoutingEvent.EndpointUpdate(
                     EndpointUpdateKind.SNAPSHOT,
                     1,
                     boxes.stream().map(Box::member).toList())));
             boolean peers = gates.length > 1;
             membership = peers ? new Membership(rank, gates.length, now + 1, random.nextLong()) : null;
-            exchange = peers && gates.length <= MOST_EXCHANGE ? new Exchange(rank, gates.length, now + 1) : null;
+            exchange =
+                    peers && gates.length <= MOST_EXCHANGE ? new ReaderPaceGossip(rank, gates.length, now + 1) : null;
             if (membership != null) at(membership.dueMs(), this::probe);
-            outliers = peers && outliersOn ? new Outliers(rank, gates.length, now + 1) : null;
+            outliers = peers && outliersOn ? new OutlierConsensus(rank, gates.length, now + 1) : null;
             if (outliers != null) {
-                outliers.engines(view.kinds());
-                at(now + Outliers.PERIOD_MS * random.nextDouble(), this::compare);
+                outliers.setEngines(view.kinds());
+                at(now + OutlierConsensus.PERIOD_MS * random.nextDouble(), this::compare);
             }
             if (exchange == null) return;
-            exchange.engines(boxes.stream()
+            exchange.setReaders(boxes.stream()
                     .filter(b -> !b.spec.model().writes())
                     .map(b -> b.id)
                     .toList());
@@ -452,9 +453,9 @@
             boolean last = one.winner == attempt;
             boolean good = outcome == AttemptOutcome.PROMPT_READ || outcome == AttemptOutcome.COMPLETED;
             if (outliers != null && (good || outcome == AttemptOutcome.ERROR || outcome == AttemptOutcome.RESET))
-                outliers.outcome(attempt.box.id, good, now);
+                outliers.recordOutcome(attempt.box.id, good, now);
             if (outcome == AttemptOutcome.PROMPT_READ && exchange != null) {
-                exchange.read(attempt.box.id, now - attempt.sentMs, Math.max(0, one.plan.prompt() - found));
+                exchange.recordRead(attempt.box.id, now - attempt.sentMs, Math.max(0, one.plan.prompt() - found));
             }
             if (last) finish(one, outcome == AttemptOutcome.COMPLETED ? End.SERVED : End.BROKEN, 0);
             tell(new RoutingEvent.AttemptEnded(
@@ -510,34 +511,31 @@
 
         private void compare() {
             if (!up) return;
-            byte[] datagram = outliers.due();
-            if (datagram != null) {
+            outliers.nextDatagram().ifPresent(datagram -> {
                 for (Gate other : gates) {
                     if (other == this) continue;
                     way(other, () -> {
-                        if (other.up) other.outliers.hear(rank, datagram, datagram.length, now);
+                        if (other.up) other.outliers.receive(rank, datagram, datagram.length, now);
                     });
                 }
-            }
-            RoutingEvent.EndpointUpdate news =
-                    view.hold(outliers.decide(now, g -> membership.state(g) == Membership.State.ALIVE));
-            if (news != null) tell(news);
-            at(now + Outliers.PERIOD_MS, this::compare);
+            });
+            view.setEjected(outliers.decide(now, g -> membership.state(g) == Membership.State.ALIVE))
+                    .ifPresent(this::tell);
+            at(now + OutlierConsensus.PERIOD_MS, this::compare);
         }
 
         private void say() {
             if (!up) return;
-            byte[] datagram = exchange.due();
-            if (datagram != null) {
+            exchange.nextDatagram().ifPresent(datagram -> {
                 for (Gate other : gates) if (other != this) way(other, () -> other.heard(this, datagram));
-            }
+            });
             at(now + exchange.delayMs(random.nextDouble()), this::say);
         }
 
-        private void gossip(List<Membership.Out> out) {
-            for (Membership.Out one : out) {
+        private void gossip(List<Membership.Outgoing> out) {
+            for (Membership.Outgoing one : out) {
                 ledger.count("gossip");
-                int to = one.to();
+                int to = one.recipient();
                 way(gates[to], () -> gates[to].gossiped(rank, one.bytes()));
             }
         }
@@ -550,13 +548,13 @@
         }
 
         void gossiped(int from, byte[] bytes) {
-            if (up) gossip(membership.hear(from, bytes, bytes.length, now));
+            if (up) gossip(membership.receive(from, bytes, bytes.length, now));
         }
 
         void heard(Gate from, byte[] bytes) {
             if (!up) return;
-            for (RoutingEvent.PeerRead seen : exchange.hear(from.rank, bytes, bytes.length)) tell(seen);
-            membership.heard(from.rank, exchange.incarnation(from.rank), now);
+            for (RoutingEvent.PeerRead seen : exchange.receive(from.rank, bytes, bytes.length)) tell(seen);
+            membership.recordHeard(from.rank, exchange.incarnation(from.rank), now);
         }
 
         private void shift() {
@@ -630,8 +628,8 @@
                 for (Gate gate : gates) {
                     at(now + TOLD_MS * random.nextDouble(), () -> {
                         if (gate.up)
-                            gate.tell(
-                                    gate.view.hear(new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, news)));
+                            gate.tell(gate.view.apply(
+                                    new RoutingEvent.EndpointUpdate(EndpointUpdateKind.DELTA, 2, news)));
                     });
                 }
             }
--- a/src/main/java/maplerail/sim/Host.java
+++ b/src/main/java/maplerail/sim/Host.java
@@ -89,10 +89,9 @@
             if (told != null && code == MAIL) {
                 events.addAll(told.heard((int) batch.u32(record, 2), batch.bytes(record, 6)));
             } else if (told != null && event instanceof RoutingEvent.TimerFired timer && timer.token() == Told.TIMER) {
-                byte[] datagram = told.due();
                 if (named != instance) reply.instance(instance);
                 named = instance;
-                if (datagram != null) reply.notifyAll(datagram);
+                told.due().ifPresent(reply::notifyAll);
                 reply.action(told.next(batch.clockMs));
                 continue;
             } else if (event != null) {
--- a/src/main/java/maplerail/sim/Told.java
+++ b/src/main/java/maplerail/sim/Told.java
@@ -5,9 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import maplerail.fleet.Exchange;
+import maplerail.fleet.ReaderPaceGossip;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
@@ -19,7 +20,7 @@
 
 /**
  * What one simulated gateway tells the others of its tier, as {@code cli.Gateway} does on sockets: its reads go into a
- * {@link Exchange}, a timer of its own sends the sums as {@code Notify}, and what comes as {@code Mail} reaches its
+ * {@link ReaderPaceGossip}, a timer of its own sends the sums as {@code Notify}, and what comes as {@code Mail} reaches its
  * module as {@link RoutingEvent.PeerRead}. The timer's token is negative, which no token of the module is.
  */
 final class Told {
@@ -28,7 +29,7 @@
 
     private static final int MOST_PROMPTS = 50_000; // requests whose prompt length is remembered until their read ends
 
-    private final Exchange exchange;
+    private final ReaderPaceGossip exchange;
     private final List<RoutingSettings.EngineKind> kinds;
     private final SplittableRandom draws;
     private final Set<Long> readers = new HashSet<>();
@@ -42,7 +43,7 @@
     };
 
     Told(RoutingSettings settings, int rank, double nowMs) {
-        exchange = new Exchange(rank, settings.gateways(), nowMs);
+        exchange = new ReaderPaceGossip(rank, settings.gateways(), nowMs);
         kinds = settings.engineKinds();
         draws = new SplittableRandom(settings.seed() ^ 0x9e3779b97f4a7c15L);
     }
@@ -66,22 +67,22 @@
                 if (reads) readers.add(member.engine());
                 else readers.remove(member.engine());
             }
-            exchange.engines(readers);
+            exchange.setReaders(readers);
         }
         if (event instanceof RoutingEvent.AttemptEnded ended && ended.outcome() == AttemptOutcome.PROMPT_READ) {
             Double prompt = prompts.remove(ended.requestId());
             if (prompt != null)
-                exchange.read(ended.engine(), ended.elapsedMs(), Math.max(0, prompt - ended.cachedTokens()));
+                exchange.recordRead(ended.engine(), ended.elapsedMs(), Math.max(0, prompt - ended.cachedTokens()));
         }
     }
 
-    /** The datagram due now, or null. */
-    byte[] due() {
-        return exchange.due();
+    /** The datagram due now, if there is one. */
+    Optional<byte[]> due() {
+        return exchange.nextDatagram();
     }
 
     /** A datagram from the instance of rank {@code from}: what the module is to hear of it. */
     List<RoutingEvent.PeerRead> heard(int from, byte[] bytes) {
-        return new ArrayList<>(exchange.hear(from, bytes, bytes.length));
+        return new ArrayList<>(exchange.receive(from, bytes, bytes.length));
     }
 }
--- a/src/test/java/maplerail/fleet/MembershipTest.java
+++ b/src/test/java/maplerail/fleet/MembershipTest.java
@@ -65,18 +65,18 @@
             at(member.dueMs(), () -> tick(rank, member));
         }
 
-        private void send(int from, List<Membership.Out> out) {
-            for (Membership.Out one : out) {
-                assertThat(one.bytes().length).isLessThanOrEqualTo(Datagram.MOST);
-                if (random.nextDouble() < loss || cut.test(from, one.to())) continue;
+        private void send(int from, List<Membership.Outgoing> out) {
+            for (Membership.Outgoing one : out) {
+                assertThat(one.bytes().length).isLessThanOrEqualTo(DatagramFormat.MAX_BYTES);
+                if (random.nextDouble() < loss || cut.test(from, one.recipient())) continue;
                 at(now + 1 + 38 * random.nextDouble(), () -> arrive(from, one));
             }
         }
 
-        private void arrive(int from, Membership.Out one) {
-            if (down.contains(one.to())) return;
-            if (stopped.contains(one.to())) whileStopped.add(() -> arrive(from, one));
-            else send(one.to(), members[one.to()].hear(from, one.bytes(), one.bytes().length, now));
+        private void arrive(int from, Membership.Outgoing one) {
+            if (down.contains(one.recipient())) return;
+            if (stopped.contains(one.recipient())) whileStopped.add(() -> arrive(from, one));
+            else send(one.recipient(), members[one.recipient()].receive(from, one.bytes(), one.bytes().length, now));
         }
 
         void run(double ms) {
@@ -115,7 +115,7 @@
         }
 
         long deaths() {
-            return running().mapToLong(i -> members[i].totals()[0]).sum();
+            return running().mapToLong(i -> members[i].totals().deaths()).sum();
         }
     }
 
@@ -136,7 +136,7 @@
         assertThat(tier.deaths()).isZero();
         if (loss == 0)
             assertThat(tier.running()
-                            .mapToLong(i -> tier.members[i].totals()[2])
+                            .mapToLong(i -> tier.members[i].totals().suspicions())
                             .sum())
                     .as("suspicions")
                     .isZero();
@@ -194,8 +194,8 @@
         assertThat(tier.members[0].state(2)).isEqualTo(State.DEAD);
         tier.go(2);
         assertThat(tier.converges(10_000)).isBetween(0.0, 10_000.0);
-        assertThat(tier.members[2].totals()[0]).as("deaths it declared").isZero();
-        assertThat(tier.members[2].totals()[1]).as("refutations").isPositive();
+        assertThat(tier.members[2].totals().deaths()).as("deaths it declared").isZero();
+        assertThat(tier.members[2].totals().refutations()).as("refutations").isPositive();
         tier.cut = (a, b) -> a == 1; // what 1 sends is lost, what it hears is not
         tier.run(20_000);
         assertThat(tier.members[0].state(1)).isEqualTo(State.DEAD);
@@ -205,16 +205,16 @@
     void aLiarBringsDownNobodyAndAFloodIsCounted() {
         Tier tier = new Tier(4, 0, 2);
         tier.run(5_000);
-        List<Gossip.Update> lies = List.of(
-                new Gossip.Update(0, State.DEAD, 1_000_000),
-                new Gossip.Update(1, State.DEAD, 1_000_000),
-                new Gossip.Update(2, State.DEAD, 1_000_000),
-                new Gossip.Update(9, State.DEAD, 1));
+        List<MembershipMessage.Update> lies = List.of(
+                new MembershipMessage.Update(0, State.DEAD, 1_000_000),
+                new MembershipMessage.Update(1, State.DEAD, 1_000_000),
+                new MembershipMessage.Update(2, State.DEAD, 1_000_000),
+                new MembershipMessage.Update(9, State.DEAD, 1));
         for (int i = 0; i < 200; i++) {
-            byte[] lie = Gossip.encode(new Gossip.Message(3, 1_000_000, Gossip.Kind.PING, i, 0, lies));
-            for (int to = 0; to < 3; to++) tier.members[to].hear(3, lie, lie.length, tier.now);
+            byte[] lie = new MembershipMessage(3, 1_000_000, MembershipMessage.Kind.PING, i, 0, lies).encode();
+            for (int to = 0; to < 3; to++) tier.members[to].receive(3, lie, lie.length, tier.now);
         }
-        assertThat(tier.members[0].dropped().get("flood")).isGreaterThan(100);
+        assertThat(tier.members[0].dropped().get(DropReason.FLOOD)).isGreaterThan(100);
         assertThat(tier.converges(5_000)).isBetween(0.0, 5_000.0);
         assertThat(tier.deaths()).isZero();
     }
@@ -225,41 +225,48 @@
         for (int size : new int[] {10, 100, 1_000}) {
             Tier tier = new Tier(size, 0, 4);
             tier.run(10_000);
-            long bytes =
-                    tier.running().mapToLong(i -> tier.members[i].sent()[1]).sum();
+            long bytes = tier.running()
+                    .mapToLong(i -> tier.members[i].sent().bytes())
+                    .sum();
             assertThat(bytes / 10.0 / size).as("%d gateways", size).isBetween(20.0, 120.0);
         }
     }
 
     static Stream<Arguments> dropped() {
-        byte[] good = Gossip.encode(
-                new Gossip.Message(1, 7, Gossip.Kind.PING, 1, 0, List.of(new Gossip.Update(2, State.SUSPECT, 9))));
+        byte[] good = new MembershipMessage(
+                        1,
+                        7,
+                        MembershipMessage.Kind.PING,
+                        1,
+                        0,
+                        List.of(new MembershipMessage.Update(2, State.SUSPECT, 9)))
+                .encode();
         byte[] kind = good.clone();
         kind[8] = 9;
         byte[] state = good.clone();
-        state[Gossip.HEAD + 2] = 3;
+        state[MembershipMessage.FORMAT.headerBytes() + 2] = 3;
         byte[] unborn = good.clone();
         Arrays.fill(unborn, 4, 8, (byte) 0);
         byte[] version = good.clone();
         version[1] = 1;
         return Stream.of(
-                Arguments.of(-1, good, good.length, "stranger"),
-                Arguments.of(2, good, good.length, "spoofed"),
-                Arguments.of(1, good, 5, "short"),
-                Arguments.of(1, new byte[400], 400, "long"),
-                Arguments.of(1, good, good.length - 1, "cut"),
-                Arguments.of(1, kind, kind.length, "value"),
-                Arguments.of(1, state, state.length, "value"),
-                Arguments.of(1, unborn, unborn.length, "value"),
-                Arguments.of(1, version, version.length, "version"),
-                Arguments.of(1, new byte[20], 20, "magic"));
+                Arguments.of(-1, good, good.length, DropReason.UNKNOWN_SENDER),
+                Arguments.of(2, good, good.length, DropReason.SPOOFED),
+                Arguments.of(1, good, 5, DropReason.TOO_SHORT),
+                Arguments.of(1, new byte[400], 400, DropReason.TOO_LONG),
+                Arguments.of(1, good, good.length - 1, DropReason.TRUNCATED),
+                Arguments.of(1, kind, kind.length, DropReason.INVALID_VALUE),
+                Arguments.of(1, state, state.length, DropReason.INVALID_VALUE),
+                Arguments.of(1, unborn, unborn.length, DropReason.INVALID_VALUE),
+                Arguments.of(1, version, version.length, DropReason.VERSION),
+                Arguments.of(1, new byte[20], 20, DropReason.MAGIC));
     }
 
     @ParameterizedTest(name = "{3}")
     @MethodSource
-    void dropped(int from, byte[] bytes, int length, String reason) {
+    void dropped(int from, byte[] bytes, int length, DropReason reason) {
         Membership member = new Membership(0, 3, 1_000, 1);
-        assertThat(member.hear(from, bytes, length, 2_000)).isEmpty();
+        assertThat(member.receive(from, bytes, length, 2_000)).isEmpty();
         assertThat(member.dropped()).isEqualTo(Map.of(reason, 1L));
         assertThat(member.alive()).isEqualTo(3);
     }
--- a/src/test/java/maplerail/fleet/OutliersTest.java
+++ b/src/test/java/maplerail/fleet/OutlierConsensusTest.java
@@ -20,18 +20,18 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** A tier of ten gateways over twelve engines of one role; engine 1 fails. Gateways talk without loss here. */
-class OutliersTest {
+class OutlierConsensusTest {
     private static final int TIER = 10;
     private static final IntPredicate ALL = g -> true;
-    private final Outliers[] tier = new Outliers[TIER];
+    private final OutlierConsensus[] tier = new OutlierConsensus[TIER];
     private double now = 100_000;
 
     private void start(int engines) {
         Map<Long, Integer> listed = new TreeMap<>();
         LongStream.rangeClosed(1, engines).forEach(e -> listed.put(e, 0));
         for (int i = 0; i < TIER; i++) {
-            tier[i] = new Outliers(i, TIER, now);
-            tier[i].engines(listed);
+            tier[i] = new OutlierConsensus(i, TIER, now);
+            tier[i].setEngines(listed);
         }
     }
 
@@ -39,7 +39,7 @@
     private void round(int engines, int failed, Set<Long> failing) {
         for (int i = 0; i < TIER; i++) {
             for (long engine = 1; engine <= engines; engine++) {
-                tier[i].outcome(engine, !(failing.contains(engine) && i < failed), now);
+                tier[i].recordOutcome(engine, !(failing.contains(engine) && i < failed), now);
             }
         }
         tell();
@@ -47,10 +47,10 @@
 
     private void tell() {
         for (int i = 0; i < TIER; i++) {
-            byte[] datagram = tier[i].due();
+            byte[] datagram = tier[i].nextDatagram().orElse(null);
             if (datagram == null) continue;
-            assertThat(datagram.length).isLessThanOrEqualTo(Datagram.MOST);
-            for (int j = 0; j < TIER; j++) if (j != i) tier[j].hear(i, datagram, datagram.length, now);
+            assertThat(datagram.length).isLessThanOrEqualTo(DatagramFormat.MAX_BYTES);
+            for (int j = 0; j < TIER; j++) if (j != i) tier[j].receive(i, datagram, datagram.length, now);
         }
     }
 
@@ -62,11 +62,11 @@
 
     static Stream<Arguments> cases() {
         return Stream.of(
-                Arguments.of("fails all", 12, 10, Set.of(1L), TIER - Outliers.OWNERS),
-                Arguments.of("fails half", 12, 5, Set.of(1L), TIER - Outliers.OWNERS),
+                Arguments.of("fails all", 12, 10, Set.of(1L), TIER - OutlierConsensus.OWNERS),
+                Arguments.of("fails half", 12, 5, Set.of(1L), TIER - OutlierConsensus.OWNERS),
                 Arguments.of("fails two of ten, as all streams do now and then", 12, 2, Set.of(1L), 0),
                 Arguments.of("no more than a quarter is held", 12, 10, Set.of(1L, 2L, 3L, 4L, 5L, 6L), -3),
-                Arguments.of("one of three may be", 3, 10, Set.of(1L), TIER - Outliers.OWNERS),
+                Arguments.of("one of three may be", 3, 10, Set.of(1L), TIER - OutlierConsensus.OWNERS),
                 Arguments.of("of two none", 2, 10, Set.of(1L), 0));
     }
 
@@ -77,7 +77,9 @@
         start(engines);
         round(engines, failed, failing);
         if (holders >= 0) assertThat(holding(1)).isEqualTo(holders);
-        else for (Outliers one : tier) assertThat(one.decide(now, ALL).size()).isBetween(1, -holders);
+        else
+            for (OutlierConsensus one : tier)
+                assertThat(one.decide(now, ALL).size()).isBetween(1, -holders);
         assertThat(IntStream.range(0, TIER)
                                 .anyMatch(i -> tier[i].decide(now, ALL).contains((long) engines))
                         && !failing.contains((long) engines))
@@ -95,8 +97,8 @@
                 .findFirst()
                 .orElseThrow();
         for (int i = 0; i < 5; i++) {
-            now += Outliers.HOLD_MS - 1_000;
-            tier[owner].outcome(1, false, now);
+            now += OutlierConsensus.EJECTION_MS - 1_000;
+            tier[owner].recordOutcome(1, false, now);
             tell();
             assertThat(holding(1)).as("another trial failed").isPositive();
         }
@@ -105,8 +107,8 @@
         assertThat(IntStream.range(0, TIER)
                         .filter(i -> i != owner && !tier[i].decide(now, without).contains(1L))
                         .count())
-                .isEqualTo(Outliers.OWNERS);
-        now += Outliers.HOLD_MS;
+                .isEqualTo(OutlierConsensus.OWNERS);
+        now += OutlierConsensus.EJECTION_MS;
         assertThat(holding(1)).isZero();
     }
 
@@ -115,84 +117,84 @@
     void oneGatewayAloneHoldsNothingAndGoodAnswersOfOnesOwnSpeak() {
         start(12);
         for (int i = 0; i < 50; i++) {
-            tier[3].outcome(1, false, now);
+            tier[3].recordOutcome(1, false, now);
             tell();
         }
         assertThat(holding(1)).isZero();
-        for (int i = 0; i < 5; i++) tier[4].outcome(2, true, now);
-        for (int i = 5; i < TIER; i++) for (int n = 0; n < 3; n++) tier[i].outcome(2, false, now);
+        for (int i = 0; i < 5; i++) tier[4].recordOutcome(2, true, now);
+        for (int i = 5; i < TIER; i++) for (int n = 0; n < 3; n++) tier[i].recordOutcome(2, false, now);
         tell();
         assertThat(tier[4].decide(now, ALL)).doesNotContain(2L);
         assertThat(holding(2)).isPositive();
     }
 
     static Stream<Arguments> dropped() {
-        Outliers from = new Outliers(1, TIER, 5);
-        from.engines(Map.of(1L, 0));
-        from.outcome(1, false, 0);
-        byte[] good = from.due();
+        OutlierConsensus from = new OutlierConsensus(1, TIER, 5);
+        from.setEngines(Map.of(1L, 0));
+        from.recordOutcome(1, false, 0);
+        byte[] good = from.nextDatagram().orElseThrow();
         byte[] other = good.clone();
         other[1] = 2;
         return Stream.of(
-                Arguments.of("stranger", -1, good, good.length),
-                Arguments.of("spoofed", 2, good, good.length),
-                Arguments.of("short", 1, good, 11),
-                Arguments.of("long", 1, new byte[400], 400),
-                Arguments.of("cut", 1, java.util.Arrays.copyOf(good, good.length + 1), good.length + 1),
-                Arguments.of("version", 1, other, other.length),
-                Arguments.of("magic", 1, new byte[16], 16));
+                Arguments.of(DropReason.UNKNOWN_SENDER, -1, good, good.length),
+                Arguments.of(DropReason.SPOOFED, 2, good, good.length),
+                Arguments.of(DropReason.TOO_SHORT, 1, good, 11),
+                Arguments.of(DropReason.TOO_LONG, 1, new byte[400], 400),
+                Arguments.of(DropReason.TRUNCATED, 1, java.util.Arrays.copyOf(good, good.length + 1), good.length + 1),
+                Arguments.of(DropReason.VERSION, 1, other, other.length),
+                Arguments.of(DropReason.MAGIC, 1, new byte[16], 16));
     }
 
     @ParameterizedTest(name = "{0}")
     @MethodSource
-    void dropped(String reason, int from, byte[] bytes, int length) {
+    void dropped(DropReason reason, int from, byte[] bytes, int length) {
         start(3);
-        tier[0].hear(from, bytes, length, now);
+        tier[0].receive(from, bytes, length, now);
         assertThat(tier[0].dropped()).isEqualTo(Map.of(reason, 1L));
     }
 
     @Test
     void itsOwnAndOldOnesAreDroppedAndATableOnlyHoldsWhatIsListed() {
         start(3);
-        tier[1].outcome(1, false, now);
-        tier[1].outcome(99, false, now);
-        byte[] one = tier[1].due();
-        assertThat(one).hasSize(Datagram.HEAD + 6);
-        tier[1].hear(1, one, one.length, now);
-        tier[0].hear(1, one, one.length, now);
-        tier[0].hear(1, one, one.length, now);
-        assertThat(tier[1].dropped()).isEqualTo(Map.of("self", 1L));
-        assertThat(tier[0].dropped()).isEqualTo(Map.of("stale", 1L));
-        assertThat(tier[1].due()).as("nothing new").isNull();
+        tier[1].recordOutcome(1, false, now);
+        tier[1].recordOutcome(99, false, now);
+        byte[] one = tier[1].nextDatagram().orElseThrow();
+        assertThat(one).hasSize(ReaderPaceDatagram.FORMAT.headerBytes() + 6);
+        tier[1].receive(1, one, one.length, now);
+        tier[0].receive(1, one, one.length, now);
+        tier[0].receive(1, one, one.length, now);
+        assertThat(tier[1].dropped()).isEqualTo(Map.of(DropReason.OWN, 1L));
+        assertThat(tier[0].dropped()).isEqualTo(Map.of(DropReason.STALE, 1L));
+        assertThat(tier[1].nextDatagram()).as("nothing new").isEmpty();
     }
 
     /** The module's list: held engines drain; what discovery says of them counts all the same. */
     @Test
     void aViewShowsHeldEnginesAsDraining() {
-        View view = new View();
-        assertThat(view.hear(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
+        EndpointView view = new EndpointView();
+        assertThat(view.apply(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
                         .endpoints())
                 .extracting(Endpoint::state)
                 .containsExactly(EndpointState.READY, EndpointState.READY);
-        assertThat(view.hold(Set.of(1L)).endpoints())
+        assertThat(view.setEjected(Set.of(1L)).orElseThrow().endpoints())
                 .extracting(Endpoint::state)
                 .containsExactly(EndpointState.DRAINING);
-        assertThat(view.hold(Set.of(1L))).as("nothing new").isNull();
-        assertThat(view.held()).isEqualTo(1);
-        assertThat(view.hear(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
+        assertThat(view.setEjected(Set.of(1L))).as("nothing new").isEmpty();
+        assertThat(view.ejectedEngines()).isEqualTo(1);
+        assertThat(view.apply(news(EndpointUpdateKind.SNAPSHOT, EndpointState.READY, EndpointState.READY))
                         .endpoints())
                 .extracting(Endpoint::state)
                 .as("told again")
                 .containsExactly(EndpointState.DRAINING, EndpointState.READY);
-        view.hear(news(EndpointUpdateKind.DELTA, EndpointState.DRAINING, EndpointState.READY));
-        assertThat(view.held()).isZero();
-        assertThat(view.hold(Set.of())).as("discovery has it drain").isNull();
-        assertThat(view.hear(news(EndpointUpdateKind.DELTA, EndpointState.READY, EndpointState.REMOVED))
+        view.apply(news(EndpointUpdateKind.DELTA, EndpointState.DRAINING, EndpointState.READY));
+        assertThat(view.ejectedEngines()).isZero();
+        assertThat(view.setEjected(Set.of())).as("discovery has it drain").isEmpty();
+        assertThat(view.apply(news(EndpointUpdateKind.DELTA, EndpointState.READY, EndpointState.REMOVED))
                         .endpoints())
                 .extracting(Endpoint::state)
                 .containsExactly(EndpointState.READY, EndpointState.REMOVED);
         assertThat(view.kinds()).containsOnlyKeys(1L);
-        assertThat(view.hold(Set.of(2L))).as("one that is gone").isNull();
+        assertThat(view.setEjected(Set.of(2L))).as("one that is gone").isEmpty();
     }
 
     private static EndpointUpdate news(EndpointUpdateKind kind, EndpointState one, EndpointState two) {
