Server: the gateway's wiring apart from drain, peers, hand-over, migration and descriptors

Change: package server: Gateway wires (475 lines), GatewayLifecycle, DrainController, PeerService (one that does nothing, and TierPeerService with TierDecisions), HandoverService, StreamMigration, DescriptorBudget, FrontListener, ToolGateway, ConfigReloader, SignalHandlers, ClassArchiveTraining; cli keeps the command line. Log lines in the field's terms; integration tests wait for the new text, as strict.

--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -22,6 +22,10 @@
 import maplerail.conform.Suite;
 import maplerail.conform.Target;
 import maplerail.lab.Lab;
+import maplerail.server.ClassArchiveTraining;
+import maplerail.server.ConfigReloader;
+import maplerail.server.Gateway;
+import maplerail.server.SignalHandlers;
 import maplerail.sim.Adapter;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -129,7 +133,7 @@
                         errors);
             }
             case "rehearse" -> {
-                Rehearsal.run();
+                ClassArchiveTraining.run();
                 return 0;
             }
             case "version" -> {
@@ -179,7 +183,8 @@
         // Guards against a signal between the file's reading and the first moment in which it could be read again: the
         // machine's own way with it would end the program.
         CompletableFuture<Runnable> reloading = new CompletableFuture<>();
-        if (command.equals("serve")) Hangup.then(() -> reloading.join().run());
+        if (command.equals("serve"))
+            SignalHandlers.onHangup(() -> reloading.join().run());
         try {
             if (file == null) throw new ConfigException("RELAY_CONFIG: missing, and no --config");
             text = read(file);
@@ -198,14 +203,14 @@
         // The environment is as old as the process: after a new file it no longer comes first.
         Map<String, String> left = new HashMap<>(environment);
         left.remove("RELAY_DISCOVERY");
-        Reload reload = new Reload(Main::read, gateway::rejected);
+        ConfigReloader reloader = new ConfigReloader(Main::read, gateway::onConfigRejected);
         AtomicReference<String> inForce = new AtomicReference<>(text);
-        reloading.complete(() -> reload.run(() -> {
-            reload.take(file, news -> {
+        reloading.complete(() -> reloader.run(() -> {
+            reloader.reload(file, news -> {
                 gateway.reload(NodeConfig.next(news, inForce.get(), left));
                 inForce.set(news);
             });
-            if (toolsFile != null) reload.take(toolsFile, news -> gateway.reload(ToolsConfig.read(news)));
+            if (toolsFile != null) reloader.reload(toolsFile, news -> gateway.reload(ToolsConfig.read(news)));
         }));
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -82,7 +82,7 @@
         return addresses.getOrDefault(engine, left.get(engine));
     }
 
-    /** EngineTransport whose address is known. */
+    /** Engines whose address is known. */
     public int known() {
         return addresses.size() + left.size();
     }
--- a/src/main/java/maplerail/cli/Rehearsal.java
+++ b/src/main/java/maplerail/server/ClassArchiveTraining.java
@@ -1,4 +1,4 @@
-package maplerail.cli;
+package maplerail.server;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -15,20 +15,21 @@
 import maplerail.core.Lifecycle.Phase;
 
 /**
- * A gateway that asks itself a few things and stops. The build runs it under the virtual machine's recorder of
- * classes: a gateway that starts from the record is ready in less time, which counts when it is restarted.
+ * Runs a gateway that serves a few requests of its own and stops. The build runs it to record the class archive (CDS) from
+ * which a gateway starts: it is ready in less time, which counts when it is restarted.
  */
-final class Rehearsal {
+public final class ClassArchiveTraining {
     private static final String BODY = "{\"stream\":true}";
     private static final int ROUNDS = 5;
     private static final List<String> CALLS =
             List.of("GET /_ready", "GET /_vars", "PUT /_lameduck/on", "PUT /_lameduck/off");
 
-    private Rehearsal() {}
+    private ClassArchiveTraining() {}
 
-    static void run() throws IOException, InterruptedException {
+    /** Runs it; returns once the gateway has stopped. */
+    public static void run() throws IOException, InterruptedException {
         try (ServerSocket engine = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                InputStream text = Rehearsal.class.getResourceAsStream("/rehearsal.json")) {
+                InputStream text = ClassArchiveTraining.class.getResourceAsStream("/rehearsal.json")) {
             String config = new String(text.readAllBytes(), StandardCharsets.UTF_8);
             Gateway gateway = new Gateway(
                     NodeConfig.read(
--- /dev/null
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -0,0 +1,475 @@
+package maplerail.server;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import maplerail.config.ConfigException;
+import maplerail.config.EngineList;
+import maplerail.config.NodeConfig;
+import maplerail.config.ToolsConfig;
+import maplerail.core.AdmissionLimits;
+import maplerail.core.AdmissionStage;
+import maplerail.core.Broker;
+import maplerail.core.DecisionLog;
+import maplerail.core.Lifecycle.Phase;
+import maplerail.discovery.PlatformWatch;
+import maplerail.front.admin.AdminDoor;
+import maplerail.front.admin.Desk;
+import maplerail.front.platform.PlatformFront;
+import maplerail.metrics.Metrics;
+import maplerail.metrics.Metrics.Figure;
+import maplerail.net.EngineClient;
+import maplerail.net.Pool;
+import maplerail.net.XnioLoop;
+import maplerail.routing.EndpointUpdateKind;
+import maplerail.routing.RoutingEvent.EndpointUpdate;
+import maplerail.routing.RoutingPolicy;
+import maplerail.routing.RoutingSettings;
+import maplerail.routing.d2lpm.D2lpmPolicy;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.InheritedListener;
+
+/**
+ * One gateway: wires its parts, starts them, and passes on what changes while it runs. Public methods may be called from any
+ * thread, unless they say otherwise.
+ */
+public final class Gateway implements Desk {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+    // They keep the draws of discovery and of advice to clients apart from the policy's.
+    private static final long DISCOVERY_SEED = 0x5bd1e995a7c3f1d1L;
+    private static final long ADVICE_SEED = 0x27d4eb2f165667c5L;
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int MAX_POOLED_BUFFERS = 512;
+    private static final double FIRST_LIST_MS = 1_000; // for which a start waits for discovery before it listens
+    private static final double MIGRATION_DELAY_MS = 100; // after it listens, from which streams may come here
+    private static final double LAME_DUCK_GRACE_MS = 1_000; // from which idle connections of a lame duck are closed
+    private static final double LAME_DUCK_POLL_MS = 50;
+    private static final double PUBLISH_MS = 100; // between two looks at the engines for the metrics
+
+    private final GatewayLifecycle lifecycle = new GatewayLifecycle();
+    private final Metrics metrics = new Metrics();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final CompletableFuture<Void> opened = new CompletableFuture<>(); // clients may come, or never will
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, MAX_POOLED_BUFFERS, 0);
+    private final XnioWorker worker;
+    private final XnioLoop loop;
+    private final DescriptorBudget descriptors;
+    private final Optional<Path> sharedFolder;
+    private final AdmissionStage admission;
+    private final Pool enginePool;
+    private final Pool discoveryPool;
+    private final EngineClient engines;
+    private final Broker broker;
+    private final PlatformFront platform;
+    private final PlatformWatch discovery;
+    private final PeerService peers;
+    private final Optional<HandoverService> handover;
+    private final Optional<ToolGateway> tools;
+    private final DrainController drain;
+    private volatile NodeConfig config;
+    private volatile FrontListener listener; // null until it listens
+    private volatile AdminDoor admin; // null unless operators have an address
+    private Optional<StreamMigration> migration = Optional.empty();
+
+    /** Creates a gateway that does not listen yet; {@code toolsConfig} is null where the second front is off. */
+    public Gateway(NodeConfig config, ToolsConfig toolsConfig) throws IOException {
+        this(config, toolsConfig, null);
+    }
+
+    /** The same with a folder for what a process hands to the next one; null for none. */
+    public Gateway(NodeConfig config, ToolsConfig toolsConfig, Path sharedFolder) throws IOException {
+        this.config = config;
+        this.sharedFolder = Optional.ofNullable(sharedFolder);
+        worker = createWorker();
+        loop = new XnioLoop(worker.getIoThread());
+        NodeConfig.Wire wire = config.wire();
+        descriptors = new DescriptorBudget(wire.sockets(), toolsConfig != null, config.admin() != null);
+        enginePool = createPool(wire, descriptors.engines());
+        discoveryPool = createPool(wire, descriptors.discovery()).unsettled();
+        engines = new EngineClient(enginePool);
+        RoutingSettings settings = config.settings();
+        SplittableRandom advice = new SplittableRandom(settings.seed() ^ ADVICE_SEED);
+        admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(wire.maxOpen()), loop, advice);
+        broker = new Broker(
+                createPolicy(settings),
+                settings,
+                admission,
+                loop,
+                engines,
+                line -> LOG.info("{}", line),
+                metrics,
+                config.names().classes());
+        platform = new PlatformFront(broker, config.names(), lifecycle.phases());
+        discovery = new PlatformWatch(
+                discoveryPool,
+                loop,
+                config.discovery(),
+                config.names(),
+                !settings.subscribes(),
+                new SplittableRandom(settings.seed() ^ DISCOVERY_SEED),
+                this::onEndpointList,
+                metrics::listRejected);
+        broker.setEndpointRefresh(discovery::refresh);
+        enginePool.beforeUse(discovery::refresh);
+        tools = Optional.ofNullable(toolsConfig).map(this::createTools);
+        peers = createPeers(config);
+        handover = this.sharedFolder.map(
+                folder -> new HandoverService(folder, worker, loop, broker, lifecycle::isStopping));
+        drain = new DrainController(loop, lifecycle, broker, new DrainHost());
+    }
+
+    private static XnioWorker createWorker() throws IOException {
+        return Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.THREAD_DAEMON, false)
+                        .getMap());
+    }
+
+    private Pool createPool(NodeConfig.Wire wire, int maxConnections) {
+        return new Pool(loop, buffers, wire.connIdleMs(), wire.connectTimeoutMs(), maxConnections);
+    }
+
+    /** The routing policy; its decisions are logged where the operators have that logger on. */
+    private static RoutingPolicy createPolicy(RoutingSettings settings) {
+        Logger decisions = LoggerFactory.getLogger(DecisionLog.class);
+        RoutingPolicy policy = new D2lpmPolicy(settings);
+        return decisions.isDebugEnabled() ? new DecisionLog(policy, decisions::debug) : policy;
+    }
+
+    private ToolGateway createTools(ToolsConfig toolsConfig) {
+        return new ToolGateway(
+                toolsConfig, config, broker, lifecycle.phases(), metrics, worker, loop, buffers, descriptors);
+    }
+
+    private PeerService createPeers(NodeConfig initial) {
+        if (initial.peers() == null) return PeerService.NONE;
+        return new TierPeerService(
+                initial.peers(),
+                worker,
+                loop,
+                broker,
+                metrics,
+                initial.settings().seed(),
+                lifecycle::isStopping,
+                this::applySettings);
+    }
+
+    // ---- Start ----
+
+    /**
+     * Starts to serve; returns once it listens, or was told to stop before it did.
+     *
+     * @throws IOException if an address can't be listened on
+     * @throws ConfigException if the configuration names a socket that is none
+     */
+    public void start() throws IOException {
+        loop.execute(this::startOnLoop);
+        if (config.admin() != null) admin = new AdminDoor(config.admin(), this);
+        loop.execute(this::awaitEndpointList);
+        try {
+            opened.join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof IOException failure) throw failure;
+            if (e.getCause() instanceof RuntimeException failure) throw failure;
+            throw e;
+        }
+    }
+
+    private void startOnLoop() {
+        EngineList known = config.known();
+        if (known != null) {
+            engines.hear(known);
+            updateEndpoints(known, EndpointUpdateKind.REMEMBERED);
+        }
+        discovery.start(known);
+        tools.ifPresent(ToolGateway::start);
+        if (known != null && !known.members().isEmpty()) lifecycle.onEndpointsKnown();
+        if (config.admin() != null) publishEngines();
+        handover.ifPresent(HandoverService::start);
+        peers.start();
+    }
+
+    /**
+     * Waits for discovery before it listens: the list in the configuration may be old, and name engines that began to drain
+     * while no process of this gateway ran. If discovery is silent, that list has to do.
+     */
+    private void awaitEndpointList() {
+        if (config.settings().subscribes() || config.known() == null) {
+            listen();
+            return;
+        }
+        loop.at(loop.nowMs() + FIRST_LIST_MS, () -> {
+            if (lifecycle.isListening() || lifecycle.isStopping()) return;
+            LOG.warn("discovery is silent: serving by the list in the configuration");
+            listen();
+        });
+    }
+
+    /** Listens for clients, on the loop like all that ends it: a process that was told to stop must not begin to listen. */
+    private void listen() {
+        if (lifecycle.isListening() || lifecycle.isStopping()) return;
+        try {
+            listener = FrontListener.open(
+                    loop, buffers, platform, descriptors.platformClients(), platform::at, this::openPlatformSocket);
+            if (tools.isPresent()) tools.get().listen();
+            if (config.inherited()) migration = sharedFolder.map(this::createMigration);
+        } catch (IOException | RuntimeException e) {
+            opened.completeExceptionally(e);
+            return;
+        }
+        lifecycle.onListening();
+        LOG.info("{} listens on {}", config.name(), address());
+        tools.ifPresent(front -> LOG.info("tool calls listen on {}", rpcAddress()));
+        opened.complete(null);
+    }
+
+    private AcceptingChannel<StreamConnection> openPlatformSocket(
+            ChannelListener<AcceptingChannel<StreamConnection>> onAccept, OptionMap options) throws IOException {
+        if (!config.inherited()) return worker.createStreamConnectionServer(config.listen(), onAccept, options);
+        return InheritedListener.serve(worker, inheritedSocket(), onAccept, options);
+    }
+
+    /** The clients' listening socket, which whoever started the process keeps, and other processes serve with it. */
+    private static ServerSocketChannel inheritedSocket() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel socket) return socket;
+        throw new ConfigException("RELAY_INHERITED_FD: descriptor 0 is no listening socket");
+    }
+
+    private StreamMigration createMigration(Path folder) {
+        StreamMigration created = new StreamMigration(
+                folder, worker, loop, broker, engines, listener.connections(), metrics, descriptors.adoptedStreams());
+        loop.at(loop.nowMs() + MIGRATION_DELAY_MS, created::listen);
+        return created;
+    }
+
+    // ---- What changes while it runs ----
+
+    private void onEndpointList(EngineList list) {
+        engines.hear(list);
+        updateEndpoints(list, list.whole() ? EndpointUpdateKind.SNAPSHOT : EndpointUpdateKind.DELTA);
+        lifecycle.onEndpointsKnown();
+        listen();
+    }
+
+    private void updateEndpoints(EngineList list, EndpointUpdateKind kind) {
+        broker.updateEndpoints(peers.visible(new EndpointUpdate(kind, list.version(), list.members())));
+        peers.onEndpointsChanged();
+    }
+
+    /**
+     * Takes over what may change while it runs from a new configuration, in one turn of the loop: the settings, and where
+     * discovery is. Open requests keep the settings that they began under, and all that was learned stays.
+     */
+    public void reload(NodeConfig next) {
+        loop.execute(() -> {
+            config = next;
+            NodeConfig.Wire wire = next.wire();
+            admission.changeLimits(AdmissionLimits.ofOpenRequests(wire.maxOpen()));
+            enginePool.retune(wire.connIdleMs(), wire.connectTimeoutMs());
+            discoveryPool.retune(wire.connIdleMs(), wire.connectTimeoutMs());
+            applySettings();
+            platform.retune(next.names());
+            tools.ifPresent(front -> front.front().retune(next.names()));
+            discovery.move(next.discovery());
+            metrics.reloaded(true);
+            LOG.info(
+                    "configuration reloaded discovery={} classes={} max_attempts={}",
+                    next.discovery(),
+                    next.names().classes(),
+                    next.settings().limits().maxAttempts());
+        });
+    }
+
+    private void applySettings() {
+        broker.changeSettings(peers.adjust(config.settings()), config.names().classes());
+    }
+
+    /** The same from the operator's file for tool calls: where Consul is. */
+    public void reload(ToolsConfig next) {
+        loop.execute(() -> {
+            tools.ifPresent(front -> front.services().reload(next));
+            metrics.reloaded(true);
+        });
+    }
+
+    /** Notes that a file could not be used: all stays as it was. */
+    public void onConfigRejected(String reason) {
+        LOG.warn("configuration rejected, the old one stays in force: {}", reason);
+        metrics.reloaded(false);
+    }
+
+    /** Readers of the metrics don't wait for the loop: they see what it published last. */
+    private void publishEngines() {
+        metrics.engines(broker.listedEngines(), broker.ejectedEngines() + peers.ejectedEngines());
+        loop.at(loop.nowMs() + PUBLISH_MS, this::publishEngines);
+    }
+
+    // ---- Operators ----
+
+    @Override
+    public boolean canServe() {
+        return lifecycle.canServe();
+    }
+
+    @Override
+    public List<Figure> figures() {
+        return metrics.figures();
+    }
+
+    /** The phase counts at once; what it brings about follows on the loop. */
+    @Override
+    public synchronized boolean lameDuck(boolean on) {
+        boolean already = on == (phase() == Phase.LAME_DUCK);
+        if (!lifecycle.setLameDuck(on)) return false;
+        if (already) return true;
+        LOG.info(on ? "lame duck: clients are sent away" : "lame duck ended: clients may come again");
+        if (on) loop.execute(() -> loop.at(loop.nowMs() + LAME_DUCK_GRACE_MS, this::closeIdleOfLameDuck));
+        return true;
+    }
+
+    /** Clients leave with their next answer; connections on which nothing is asked any more are closed. */
+    private void closeIdleOfLameDuck() {
+        if (phase() != Phase.LAME_DUCK) return;
+        if (lifecycle.isListening()) {
+            listener.closeIdleConnections();
+            tools.ifPresent(front -> front.listener().closeIdleConnections());
+        }
+        loop.at(loop.nowMs() + LAME_DUCK_POLL_MS, this::closeIdleOfLameDuck);
+    }
+
+    // ---- Shutdown ----
+
+    /** Begins the graceful shutdown, as at SIGTERM. */
+    public void drain() {
+        loop.execute(drain::start);
+    }
+
+    /** Stops at once, whatever is open. */
+    public void stop() {
+        loop.execute(() -> {
+            IoUtils.safeClose(listener);
+            tools.map(ToolGateway::listener).ifPresent(IoUtils::safeClose);
+            peers.close();
+            if (admin != null) admin.close();
+            migration.ifPresent(StreamMigration::close);
+            worker.shutdownNow();
+        });
+    }
+
+    /** Waits until it has stopped, then releases its threads and sockets. */
+    public void join() throws InterruptedException {
+        stopped.await();
+        stop();
+    }
+
+    private final class DrainHost implements DrainController.Host {
+        @Override
+        public NodeConfig config() {
+            return config;
+        }
+
+        @Override
+        public void releaseShared() {
+            // Another process has the socket too: what comes now is that one's.
+            if (config.inherited()) listener.closeSocket();
+            peers.close();
+            handover.ifPresent(HandoverService::leave);
+        }
+
+        @Override
+        public void handOnStreams(double untilMs) {
+            migration.ifPresent(streams -> streams.handOn(untilMs));
+        }
+
+        @Override
+        public boolean handsStreamsOn() {
+            return migration.map(StreamMigration::isConnected).orElse(false);
+        }
+
+        @Override
+        public void closeIdleConnections() {
+            listener.closeIdleConnections();
+            tools.ifPresent(front -> front.front().stopTaking());
+        }
+
+        /** Releases count as well: a state that is released too late, or never, would stay held at its engine. */
+        @Override
+        public boolean hasOpenWork() {
+            return listener.isBusy()
+                    || openRequests() > 0
+                    || broker.pendingReleases() > 0
+                    || engines.releasing() > 0
+                    || migration.map(StreamMigration::inTransit).orElse(0) > 0
+                    || tools.map(front -> front.front().openRequests()).orElse(0) > 0;
+        }
+
+        @Override
+        public void onDrained() {
+            if (lifecycle.isListening()) tools.ifPresent(front -> front.front().close());
+            LOG.info("drained{}", migration.map(streams -> " " + streams).orElse(""));
+            lifecycle.onStopped();
+            opened.complete(null);
+            stopped.countDown();
+        }
+    }
+
+    // ---- Figures, and what tests need ----
+
+    /** The phase of the process. */
+    public Phase phase() {
+        return lifecycle.phase();
+    }
+
+    /** The address on which the platform's clients are served, once it listens. */
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /** The address on which tool calls are served, if they are. */
+    public InetSocketAddress rpcAddress() {
+        return tools.orElseThrow().listener().address();
+    }
+
+    /** The address on which operators are served, if they are. */
+    public InetSocketAddress adminAddress() {
+        return admin.address();
+    }
+
+    /** Runs a task on the event loop, soon. */
+    public void onLoop(Runnable task) {
+        loop.execute(task);
+    }
+
+    /** Sessions over HTTP at the second front, and the characters kept for those that come again. */
+    public int[] rpcHeld() {
+        return tools.orElseThrow().front().held();
+    }
+
+    /** The number of requests of which anything is still remembered, at either front. */
+    public int openRequests() {
+        int toolRequests = tools.map(front -> front.services().remembered()).orElse(0);
+        return broker.openRequests() + toolRequests;
+    }
+}
--- a/src/main/java/maplerail/cli/ToolServices.java
+++ b/src/main/java/maplerail/server/ToolServices.java
@@ -1,4 +1,4 @@
-package maplerail.cli;
+package maplerail.server;
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -88,6 +88,7 @@
                         "maplerail.discovery..",
                         "maplerail.config..",
                         "maplerail.cli..",
+                        "maplerail.server..",
                         "maplerail.sim..")
                 .check(classes);
     }
@@ -158,7 +159,7 @@
                 .resideInAnyPackage("maplerail.net..", "maplerail.discovery..", "maplerail.config..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("maplerail.front..", "maplerail.cli..", "maplerail.sim..")
+                .resideInAnyPackage("maplerail.front..", "maplerail.cli..", "maplerail.server..", "maplerail.sim..")
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
@@ -191,7 +192,8 @@
                         "maplerail.core..",
                         "maplerail.net..",
                         "maplerail.front..",
-                        "maplerail.cli..")
+                        "maplerail.cli..",
+                        "maplerail.server..")
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
@@ -204,7 +206,8 @@
                         "maplerail.core..",
                         "maplerail.net..",
                         "maplerail.front..",
-                        "maplerail.cli..")
+                        "maplerail.cli..",
+                        "maplerail.server..")
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
@@ -212,7 +215,11 @@
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
-                        "maplerail.core..", "maplerail.net..", "maplerail.cli..", "maplerail.front.platform..")
+                        "maplerail.core..",
+                        "maplerail.net..",
+                        "maplerail.cli..",
+                        "maplerail.server..",
+                        "maplerail.front.platform..")
                 .check(classes);
         ArchRuleDefinition.classes()
                 .that()
--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -278,7 +278,7 @@
                         if (text.startsWith("{\"s"))
                             await("named", () -> log().contains("config.settings.lanes: missing"));
                     }
-                    await("moved", () -> log().contains("discovery is at"));
+                    await("moved", () -> log().contains("configuration reloaded discovery="));
                     await("watched", () -> next.discovery().count("GET /api/targets?index=") > 0);
                     stream.chunk("data: [DONE]\n\n");
                     stream.last();
@@ -322,8 +322,8 @@
                 Files.writeString(pipe, next.config("127.0.0.1:0"));
                 await(
                         "moved",
-                        () -> log().contains(
-                                        "discovery is at /" + next.discovery().address()));
+                        () -> log().contains("configuration reloaded discovery=/"
+                                + next.discovery().address()));
             } finally {
                 gateway.destroyForcibly();
             }
@@ -375,7 +375,7 @@
                             .replace("127.0.0.1:8790", "127.0.0.1:0")
                             .replace("{\"path\": \"/tools\"}", "{\"servers\": [\"" + tool.address() + "\"]}"));
             Process gateway = start(line("run") + " --tools " + tools, config.toString());
-            Pattern at = Pattern.compile("tool calls come in at \\S*:(\\d+)\\s");
+            Pattern at = Pattern.compile("tool calls listen on \\S*:(\\d+)\\s");
             try {
                 await("listening", () -> at.matcher(log()).find());
                 Matcher said = at.matcher(log());
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -187,9 +187,9 @@
             stream.last();
             await("the first has gone", () -> !alive(first));
             assertThat(World.readAll(slow.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
-            await("handed over", () -> log("b").contains("were handed over"));
+            await("handed over", () -> log("b").contains("cached prefixes taken over count="));
             // Guards against a new process that can't bind the address that the old one holds until it leaves.
-            await("peers heard", () -> log("b").contains("gateways of the tier are told"));
+            await("peers heard", () -> log("b").contains("tier joined"));
             int before = clients.stream().mapToInt(c -> c.served.get()).sum();
             await(
                     "served on",
--- a/src/test/java/maplerail/front/DepartureTest.java
+++ b/src/test/java/maplerail/front/DepartureTest.java
@@ -100,9 +100,9 @@
             if (behind) behind(world, meanwhile);
             else {
                 leave(client, how);
-                await("its leaving noticed", () -> world.gateway.remembered() == 0);
+                await("its leaving noticed", () -> world.gateway.openRequests() == 0);
             }
-            await("nothing is remembered", () -> world.gateway.remembered() == 0);
+            await("nothing is remembered", () -> world.gateway.openRequests() == 0);
             done.countDown();
             await("what may be held is let go", () -> reader.count("DELETE") > 0);
             assertThat(writer.count("POST")).isZero();
@@ -126,7 +126,7 @@
                 leave(client, how);
             });
             assertThat(world.exchange(request("a3", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
-            await("nothing is remembered", () -> world.gateway.remembered() == 0);
+            await("nothing is remembered", () -> world.gateway.openRequests() == 0);
             assertThat(reader.count("POST")).isEqualTo(2);
         }
     }
@@ -199,7 +199,7 @@
                 leaving.run();
                 call.reply(500, "");
             });
-            await("nothing is remembered", () -> world.gateway.remembered() == 0);
+            await("nothing is remembered", () -> world.gateway.openRequests() == 0);
             assertThat(one.count("POST") + other.count("POST")).isEqualTo(1);
         }
     }
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -144,7 +144,7 @@
                             .replaceFirst("\r\n", "\r\nConnection: close\r\n")
                             .getBytes(StandardCharsets.UTF_8));
             client.getOutputStream().write(many);
-            World.await("answered", () -> world.gateway.remembered() == 0 && writer.count("POST") == 1);
+            World.await("answered", () -> world.gateway.openRequests() == 0 && writer.count("POST") == 1);
             assertThat(World.readAll(client.getInputStream())).endsWith("\n\n\r\n0\r\n\r\n");
         }
     }
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -31,7 +31,7 @@
                     .endsWith("0\r\n\r\n");
             assertThat(reader.seen).containsExactly("POST /v1/chat/completions?x=%41");
             assertThat(writer.seen).containsExactly("POST /v1/chat/completions?x=%41");
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
         }
     }
 
@@ -94,7 +94,7 @@
     @Test
     void whatTheModuleGivesUpOnIsRefusedWithAdvice() throws Exception {
         try (World world = new World().start()) {
-            assertThat(world.gateway.remembered()).isZero();
+            assertThat(world.gateway.openRequests()).isZero();
             try (StandIn drained = World.reader()) {
                 world.engine("r", "prefill", drained, "terminating");
                 await(
@@ -156,7 +156,7 @@
                         .start()) {
             assertThat(world.exchange(request("a1", kind, "5.0"))).startsWith("HTTP/1.1 " + status);
             assertThat(writer.count("POST") + other.count("POST")).isEqualTo(sends);
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
             if (status == 502) await("the state let go", () -> reader.count("DELETE /internal/reservations/a1") > 0);
         }
     }
@@ -244,7 +244,7 @@
                 assertThat(reader.count("POST") + other.count("POST")).isEqualTo(i);
             }
             assertThat(world.exchange(request("a1", "lookup", "5.0"))).startsWith("HTTP/1.1 200");
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
         }
     }
 
@@ -286,7 +286,7 @@
             client.close();
             assertThat(take(ended)).isEqualTo("a1");
             await("the state let go", () -> reader.count("DELETE /internal/reservations/a1") > 0);
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
         }
     }
 
--- a/src/test/java/maplerail/front/ToolCallTest.java
+++ b/src/test/java/maplerail/front/ToolCallTest.java
@@ -142,7 +142,7 @@
             assertThat(client.answer().at("id").number()).isEqualTo(1);
             assertThat(client.answered).hasValue(2);
             assertThat(tool.count("POST /tool")).isEqualTo(1);
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
         }
     }
 
@@ -193,7 +193,7 @@
             take(calls);
             client.socket.abort();
             take(ended);
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
             assertThat(effects).hasValue(1);
             assertThat(client.answered).hasValue(0);
         }
@@ -214,7 +214,7 @@
             Tree error = client.answer().at("error");
             assertThat(error.at("code").number()).isEqualTo(-32001);
             assertThat(error.at("data").at("mayHaveRun").flag()).isTrue();
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
             assertThat(effects).hasValue(1);
             assertThat(client.answered).hasValue(1);
         }
@@ -262,7 +262,7 @@
             client.call(1, "orders.raise");
             assertThat(client.answer().at("error").at("data").at("outcome").text())
                     .isEqualTo("failed");
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
             assertThat(tool.count("POST")).isEqualTo(1);
         }
     }
@@ -317,7 +317,7 @@
             client.say("{\"jsonrpc\":\"2.0\",\"method\":\"notifications/cancelled\",\"params\":{\"requestId\":1}}");
             assertThat(client.answer().at("error").at("code").number()).isEqualTo(-32003);
             call.awaitEnd();
-            await("nothing remembered", () -> world.gateway.remembered() == 0);
+            await("nothing remembered", () -> world.gateway.openRequests() == 0);
             assertThat(tool.count("POST")).isEqualTo(1);
         }
     }
--- a/src/test/java/maplerail/front/ToolFaultsTest.java
+++ b/src/test/java/maplerail/front/ToolFaultsTest.java
@@ -117,7 +117,7 @@
             // The answer, and progress behind it on a stream that its server leaves open.
             one.chunk("data: {\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"one\":1}}\n\n" + step(token(one), "9"));
             assertThat(take(client.heard)).contains("\"id\":1,\"result\":{\"one\":1}");
-            await("closed", () -> tool.ended() == 2 && world.gateway.remembered() == 0);
+            await("closed", () -> tool.ended() == 2 && world.gateway.openRequests() == 0);
             client.call(3, "columns.find", "");
             take(calls).chunk("data: {\"jsonrpc\":\"2.0\",\"id\":1,\"error\":{\"code\":5,\"message\":\"no\"}}\n\n");
             assertThat(take(client.heard)).as("nothing came in between").contains("\"id\":3,\"error\":{\"code\":5");
@@ -210,7 +210,7 @@
                     answers.merge(message.get("id"), 1, Integer::sum);
                     answered++;
                 }
-                await("nothing is left", () -> world.gateway.remembered() == 0);
+                await("nothing is left", () -> world.gateway.openRequests() == 0);
                 client.call(1_000, "no.such", "");
                 assertThat(take(client.heard))
                         .as("seed %d: the last to be heard", seed)
--- a/src/test/java/maplerail/lab/FleetIT.java
+++ b/src/test/java/maplerail/lab/FleetIT.java
@@ -130,7 +130,7 @@
                                                 said(r, "listens on"),
                                                 "GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
                                         .startsWith("HTTP/1.1 200")
-                                && log(r).contains("gateways of the tier are told"));
+                                && log(r).contains("tier joined"));
             }
             // Gateway 0 meets both readers and finds the slow one; it tells the tier.
             assertThat(serve(0, "a", 24)).isEqualTo(24);
--- a/src/test/java/maplerail/lab/LabIT.java
+++ b/src/test/java/maplerail/lab/LabIT.java
@@ -116,7 +116,7 @@
             Ledger ledger = rig.ledger();
             assertThat(ledger.broken()).isEmpty();
             long holding = java.util.stream.IntStream.range(0, 4)
-                    .filter(g -> said(g, "held, as it failed several gateways"))
+                    .filter(g -> said(g, "engine ejected by the tier"))
                     .count();
             assertThat(holding).as("gateways that left it alone").isGreaterThanOrEqualTo(2);
             long failing = ledger.count("engine w-z-1", 4, 10);
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -184,7 +184,7 @@
         }
     }
 
-    /** EngineTransport must leave clients their part of the descriptors. */
+    /** Engines must leave clients their part of the descriptors. */
     @Test
     void thePoolHoldsNoMoreThanItsPart() throws Exception {
         BlockingQueue<StandIn.Exchange> waiting = World.queue();
--- a/src/test/java/maplerail/cli/ReloadTest.java
+++ b/src/test/java/maplerail/server/ConfigReloaderTest.java
@@ -1,4 +1,4 @@
-package maplerail.cli;
+package maplerail.server;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class ReloadTest {
+class ConfigReloaderTest {
     /** Read once, a file that was being written was refused though it was whole a moment later. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
@@ -27,14 +27,14 @@
                 new ArrayDeque<>(List.of(texts == null ? new String[] {"", ""} : texts.split(";", -1)));
         List<String> refused = new ArrayList<>();
         List<String> taken = new ArrayList<>();
-        Reload reload = new Reload(
+        ConfigReloader reload = new ConfigReloader(
                 name -> {
                     String text = file.poll();
                     if (text.equals("-")) throw new ConfigException(name + ": cannot be read");
                     return text;
                 },
                 refused::add);
-        reload.run(() -> reload.take("config.json", text -> {
+        reload.run(() -> reload.reload("config.json", text -> {
             Tree.object("config", text);
             taken.add(text);
         }));
--- a/src/test/java/maplerail/cli/LameDuckTest.java
+++ b/src/test/java/maplerail/server/LameDuckTest.java
@@ -1,4 +1,4 @@
-package maplerail.cli;
+package maplerail.server;
 
 import static maplerail.support.World.await;
 import static maplerail.support.World.request;
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -12,10 +12,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import maplerail.cli.Gateway;
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.server.Gateway;
 
 /** A gateway with stand-ins for discovery and engines round it, all on loopback. */
 public final class World implements AutoCloseable {
