Discovery: polls, schedule and sources in the field's terms

Cause: Asking, looks, presses and watches named no known thing. Change: PollSchedule (long and short polls), PlatformDiscovery, ConsulDiscovery, BlockingQuery and Backoff with short methods and named constants; a border test: the schedule does no input.

--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import maplerail.config.ConfigException;
 import maplerail.config.Tree;
 import maplerail.net.Call;
@@ -16,115 +17,130 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One of Consul's blocking queries, asked again for good; what it last told stays true while it can't be asked. From a
- * failure to the next answer it asks without waiting, as {@link Asking} does: a change counts as told 6 s after Consul
- * could be reached.
+ * One of Consul's blocking queries, made again for good. From a failure to the next answer it does not block, as a short poll
+ * of {@link PollSchedule}: a change counts as heard 6 s after Consul could be reached.
  */
 final class BlockingQuery {
     private static final Logger LOG = LoggerFactory.getLogger(BlockingQuery.class);
     private static final long WAIT_S = 20;
-    private static final double GRACE_MS = 1_000 + WAIT_S * 1_000 / 16; // Consul adds up to a sixteenth
-    private static final double LOOK_MS = 4_000; // for an answer that needs no waiting
-    private static final double PRESS_MS = 1_600; // a look that is lost must not use up the time to be told in
-    private static final double FIRST_AGAIN_MS = 100;
-    private static final double MOST_AGAIN_MS = 1_200;
+    private static final long MS_PER_S = 1_000;
+    private static final long CONSUL_JITTER_PART = 16; // Consul adds up to a sixteenth to a wait
+    private static final double BLOCKING_TIMEOUT_MS =
+            WAIT_S * MS_PER_S + WAIT_S * MS_PER_S / CONSUL_JITTER_PART + MS_PER_S;
+    private static final double SHORT_TIMEOUT_MS = 4_000; // for an answer that needs no waiting
+    private static final double REPEAT_MS = 1_600; // a lost call must not use up the 6 s
+    private static final double FIRST_RETRY_MS = 100;
+    private static final double MAX_RETRY_MS = 1_200;
+    private static final int OK = 200;
+    private static final Pattern INDEX = Pattern.compile("[0-9]{1,18}");
 
     private final Pool pool;
     private final XnioLoop loop;
-    private InetSocketAddress at;
     private final String path;
-    private final Consumer<Tree> news;
+    private final Consumer<Tree> onAnswer;
     private final Backoff backoff;
+    private InetSocketAddress address;
     private long index;
-    private boolean look = true; // from a failure, and from the start, until the next answer
-    private int turn; // counts up with each call, and when what is out has been answered
+    private boolean shortPolling = true; // from a failure, and from the start, until the next answer
+    private int turn; // counts up with each call, and when the one in flight has been answered
 
     BlockingQuery(
-            Pool pool, XnioLoop loop, InetSocketAddress at, String path, SplittableRandom random, Consumer<Tree> news) {
+            Pool pool,
+            XnioLoop loop,
+            InetSocketAddress address,
+            String path,
+            SplittableRandom random,
+            Consumer<Tree> onAnswer) {
         this.pool = pool;
         this.loop = loop;
-        this.at = at;
+        this.address = address;
         this.path = path;
-        this.news = news;
-        this.backoff = new Backoff(random, FIRST_AGAIN_MS, MOST_AGAIN_MS);
+        this.onAnswer = onAnswer;
+        this.backoff = new Backoff(random, FIRST_RETRY_MS, MAX_RETRY_MS);
     }
 
-    /** Asks another agent from now on, anew: its indexes are its own. */
-    void move(InetSocketAddress to) {
-        at = to;
+    /** Asks another agent from now on, from the beginning, as its indexes are its own. */
+    void redirect(InetSocketAddress newAddress) {
+        address = newAddress;
         index = 0;
-        look = true;
-        backoff.answered();
-        ask();
+        shortPolling = true;
+        backoff.reset();
+        poll();
     }
 
-    void ask() {
-        int mine = ++turn;
-        boolean waits = !look && index > 0;
-        String target = path + (waits ? "?index=" + index + "&wait=" + WAIT_S + "s" : "");
-        Asked asked = new Asked(mine);
-        Call call = pool.start(at, Requests.to(at, Methods.GET, target), new byte[0], asked);
-        loop.at(loop.nowMs() + (waits ? WAIT_S * 1_000 + GRACE_MS : LOOK_MS), () -> asked.expire(call));
-        if (waits) return;
-        loop.at(loop.nowMs() + PRESS_MS, () -> {
-            if (mine == turn) ask();
-        });
+    void poll() {
+        turn++;
+        int ownTurn = turn;
+        boolean blocks = !shortPolling && index > 0;
+        String target = path + (blocks ? "?index=" + index + "&wait=" + WAIT_S + "s" : "");
+        Response response = new Response(ownTurn);
+        Call call = pool.start(address, Requests.to(address, Methods.GET, target), new byte[0], response);
+        double timeoutMs = blocks ? BLOCKING_TIMEOUT_MS : SHORT_TIMEOUT_MS;
+        loop.at(loop.nowMs() + timeoutMs, () -> response.expire(call));
+        if (!blocks) loop.at(loop.nowMs() + REPEAT_MS, () -> pollInTurn(ownTurn));
     }
 
-    private void later(double afterMs) {
-        int mine = ++turn;
-        loop.at(loop.nowMs() + afterMs, () -> {
-            if (mine == turn) ask();
-        });
+    private void pollLater(double afterMs) {
+        turn++;
+        int ownTurn = turn;
+        loop.at(loop.nowMs() + afterMs, () -> pollInTurn(ownTurn));
+    }
+
+    private void pollInTurn(int ownTurn) {
+        if (ownTurn == turn) poll();
     }
 
     /**
-     * The index to ask after next. Going backwards (a restored or new server) starts anew, as a wait for the old
-     * one might never end; one that is missing or not above 0 would make the query a busy loop.
+     * The index to ask after next. One that goes backwards (a restored or new server) starts anew, as a wait for the old one
+     * might never end; one that is missing or not above 0 would make the query a busy loop.
      */
-    static long next(long last, String told) {
-        long index = told != null && told.matches("[0-9]{1,18}") ? Long.parseLong(told) : 0;
-        return index < last ? 0 : index;
+    static long nextIndex(long last, String header) {
+        long received = header != null && INDEX.matcher(header).matches() ? Long.parseLong(header) : 0;
+        return received < last ? 0 : received;
     }
 
-    private final class Asked extends TextReply {
-        private final InetSocketAddress asked = at;
-        private final int mine;
+    private final class Response extends TextReply {
+        private final InetSocketAddress asked = address;
+        private final int ownTurn;
 
-        Asked(int mine) {
-            this.mine = mine;
+        Response(int ownTurn) {
+            this.ownTurn = ownTurn;
         }
 
         @Override
         protected boolean whole(int status, HeaderMap headers, String text) {
-            if (!asked.equals(at)) return true;
+            if (!asked.equals(address)) return true;
             try {
-                if (status != 200) throw new ConfigException("status " + status);
+                if (status != OK) throw new ConfigException("status " + status);
                 Tree answer = Tree.any(path, text);
-                long before = index;
-                long told = next(before, headers.getFirst("X-Consul-Index"));
-                // An earlier look may come behind a later one: what that said stands.
-                if (mine != turn && told <= before) return true;
-                index = told;
-                // A wait that ended without news repeats the index.
-                if (index == 0 || index != before) news.accept(answer);
+                long received = nextIndex(index, headers.getFirst("X-Consul-Index"));
+                // The answer to an earlier call may come behind that to a later one, which stands.
+                if (ownTurn != turn && received <= index) return true;
+                handle(answer, received);
+                return true;
             } catch (ConfigException e) {
-                LOG.warn("consul: {}", e.getMessage());
-                if (mine == turn) index = 0;
+                LOG.warn("consul query failed path={} error={}", path, e.getMessage());
+                if (ownTurn == turn) index = 0;
                 return false;
             }
-            look = false;
-            backoff.answered();
-            if (index > 0) ask();
-            else later(FIRST_AGAIN_MS);
-            return true;
+        }
+
+        private void handle(Tree answer, long received) {
+            // A wait that ended without a change repeats the index.
+            boolean changed = received == 0 || received != index;
+            index = received;
+            if (changed) onAnswer.accept(answer);
+            shortPolling = false;
+            backoff.reset();
+            if (index > 0) poll();
+            else pollLater(FIRST_RETRY_MS);
         }
 
         @Override
         protected void none() {
-            if (mine != turn) return; // the other address has its own call out, or this one a later look
-            look = true;
-            later(backoff.next(0));
+            if (ownTurn != turn) return; // the other address has its own call in flight, or this one a later one
+            shortPolling = true;
+            pollLater(backoff.next(0));
         }
     }
 }
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -21,7 +21,7 @@
 import maplerail.core.Broker;
 import maplerail.core.DecisionLog;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.discovery.PlatformWatch;
+import maplerail.discovery.PlatformDiscovery;
 import maplerail.front.admin.AdminDoor;
 import maplerail.front.admin.Desk;
 import maplerail.front.platform.PlatformFront;
@@ -79,7 +79,7 @@
     private final EngineClient engines;
     private final Broker broker;
     private final PlatformFront platform;
-    private final PlatformWatch discovery;
+    private final PlatformDiscovery discovery;
     private final PeerService peers;
     private final Optional<HandoverService> handover;
     private final Optional<ToolGateway> tools;
@@ -118,7 +118,7 @@
                 metrics,
                 config.names().classes());
         platform = new PlatformFront(broker, config.names(), lifecycle.phases());
-        discovery = new PlatformWatch(
+        discovery = new PlatformDiscovery(
                 discoveryPool,
                 loop,
                 config.discovery(),
@@ -292,7 +292,7 @@
             applySettings();
             platform.retune(next.names());
             tools.ifPresent(front -> front.front().retune(next.names()));
-            discovery.move(next.discovery());
+            discovery.redirect(next.discovery());
             metrics.reloaded(true);
             LOG.info(
                     "configuration reloaded discovery={} classes={} max_attempts={}",
--- a/src/main/java/maplerail/server/ToolServices.java
+++ b/src/main/java/maplerail/server/ToolServices.java
@@ -11,7 +11,7 @@
 import maplerail.config.ToolsConfig;
 import maplerail.core.AdmissionStage;
 import maplerail.core.Broker;
-import maplerail.discovery.ConsulWatch;
+import maplerail.discovery.ConsulDiscovery;
 import maplerail.metrics.Metrics;
 import maplerail.net.Pool;
 import maplerail.net.ToolClient;
@@ -37,7 +37,7 @@
     private final XnioLoop loop;
     private final long seed;
     private final Pool pool;
-    private ConsulWatch watch;
+    private ConsulDiscovery watch;
     private final Map<String, Broker> brokers = new TreeMap<>();
     private final Map<String, ToolClient> clients = new TreeMap<>();
 
@@ -85,14 +85,14 @@
         if (config.consul() == null) return;
         Map<String, ToolsConfig.Service> asked = new HashMap<>(config.services());
         asked.values().removeIf(service -> !service.servers().isEmpty());
-        watch = new ConsulWatch(
+        watch = new ConsulDiscovery(
                 pool, loop, config.consul(), asked.keySet(), new SplittableRandom(seed ^ CONSUL_DRAWS), this::hear);
         watch.start();
     }
 
     /** Takes what may change while it runs from a new file: where Consul is. */
     void reload(ToolsConfig news) {
-        if (watch != null && news.consul() != null) watch.move(news.consul());
+        if (watch != null && news.consul() != null) watch.redirect(news.consul());
     }
 
     private static EngineList listed(List<InetSocketAddress> servers) {
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -117,6 +117,18 @@
                 .check(classes);
     }
 
+    /** When discovery is asked for what is decided without a socket. */
+    @Test
+    void thePollScheduleDoesNoInput() {
+        ArchRuleDefinition.noClasses()
+                .that()
+                .haveNameMatching("maplerail\\.discovery\\.PollSchedule.*")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.io..", "org.xnio..", "io.undertow..", "maplerail.net..")
+                .check(classes);
+    }
+
     /** What gateways tell each other is decided without a socket or a clock; the lab is no part of a gateway. */
     @Test
     void theFleetDecidesWithoutInput() {
--- a/src/test/java/maplerail/discovery/BackoffTest.java
+++ b/src/test/java/maplerail/discovery/BackoffTest.java
@@ -59,7 +59,7 @@
     void anAnswerStartsAnew() {
         Backoff backoff = new Backoff(new SplittableRandom(7), 200, 4_000);
         for (int i = 0; i < 50; i++) assertThat(backoff.next(0)).isLessThanOrEqualTo(4_000);
-        backoff.answered();
+        backoff.reset();
         assertThat(backoff.next(0)).isLessThanOrEqualTo(200);
     }
 }
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -29,7 +29,7 @@
     @ParameterizedTest
     @CsvSource({"0,7,7", "7,7,7", "7,9,9", "9,7,0", "9,,0", "9,soon,0", "0,0,0", "5,-1,0"})
     void theIndexStartsAnewWhenItGoesBackwards(long last, String told, long next) {
-        assertThat(BlockingQuery.next(last, told)).isEqualTo(next);
+        assertThat(BlockingQuery.nextIndex(last, told)).isEqualTo(next);
     }
 
     @ParameterizedTest
@@ -41,7 +41,7 @@
         "passing,unheard,DRAINING"
     })
     void aServerIsCalledWhileNoCheckIsCritical(String one, String two, EndpointState state) {
-        EngineList list = ConsulWatch.read(Tree.any("health", """
+        EngineList list = ConsulDiscovery.read(Tree.any("health", """
                 [{"Node":{"Node":"n","Address":"127.0.0.9"},"Service":{"ID":"r1","Address":"","Port":80},
                   "Checks":[{"Status":"%s"},{"Status":"%s"}]},
                  {"Node":{"Node":"n","Address":"127.0.0.9"},"Service":{"ID":"no-port"}}]""".formatted(one, two)), 1);
@@ -72,7 +72,7 @@
                     "/v1/x",
                     new SplittableRandom(1),
                     answer -> told.add("" + answer.at("call").raw()));
-            loop.execute(query::ask);
+            loop.execute(query::poll);
             assertThat(World.take(told)).isEqualTo("1");
             assertThat(World.take(told)).isEqualTo("4");
             World.await("watched anew", () -> asked.size() > 4);
--- a/src/test/java/maplerail/discovery/PlatformWatchTest.java
+++ b/src/test/java/maplerail/discovery/PlatformDiscoveryTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class PlatformWatchTest {
+class PlatformDiscoveryTest {
     /** A new agent that has yet to hear the news would list an engine that drains as ready once more. */
     @Test
     void aListOlderThanOursIsNotBelievedAfterAMove() throws Exception {
--- a/src/test/java/maplerail/discovery/AskingTest.java
+++ b/src/test/java/maplerail/discovery/PollScheduleTest.java
@@ -7,29 +7,29 @@
 import java.util.SplittableRandom;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
-import maplerail.discovery.Asking.Kind;
+import maplerail.discovery.PollSchedule.Answer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class AskingTest {
+class PollScheduleTest {
     private static final double TOLD_MS = 6_000; // after which what a silent watch missed counts as told
 
-    private static Asking asking(boolean agent) {
-        return new Asking(agent, 7, new SplittableRandom(1));
+    private static PollSchedule asking(boolean agent) {
+        return new PollSchedule(agent, 7, new SplittableRandom(1));
     }
 
     /** Whenever a watch falls silent, there is time for several looks before what it misses counts as told. */
     @Test
     void aSilentWatchLeavesTimeToAskAnew() {
-        Asking asking = asking(true);
+        PollSchedule asking = asking(true);
         for (int i = 0; i < 1_000; i++) {
-            asking.heard(8 + i, false, 7 + i, 0);
-            Asking.Query watch = asking.next();
+            asking.onList(8 + i, false, 7 + i, 0);
+            PollSchedule.Poll watch = asking.next();
             assertThat(watch.waitMs()).isGreaterThan(1);
-            double givenUpMs = watch.withinMs() + asking.failedMs();
+            double givenUpMs = watch.timeoutMs() + asking.onFailed();
             assertThat(givenUpMs).isLessThan(TOLD_MS / 2 + 1_000);
             assertThat(givenUpMs).isLessThan(watch.waitMs() + 2_000);
             assertThat(asking.next().waitMs()).as("asks for what is there").isLessThanOrEqualTo(1);
@@ -39,31 +39,31 @@
     /** An agent that was silent and comes back answers what is asked then: there is a call at any moment until it does. */
     @Test
     void anAgentIsLookedAtUntilItAnswers() {
-        Asking asking = asking(true);
-        assertThat(asking.firstMs()).isZero();
+        PollSchedule asking = asking(true);
+        assertThat(asking.firstDelayMs()).isZero();
         for (int i = 0; i < 50; i++) {
-            assertThat(asking.pressMs()).isLessThanOrEqualTo(100);
-            assertThat(asking.failedMs()).isLessThanOrEqualTo(100);
+            assertThat(asking.repeatMs()).isLessThanOrEqualTo(100);
+            assertThat(asking.onFailed()).isLessThanOrEqualTo(100);
         }
-        asking.heard(8, false, 7, 0);
-        assertThat(asking.pressMs()).isInfinite();
-        assertThat(asking.failedMs()).as("a watch that was reset").isZero();
+        asking.onList(8, false, 7, 0);
+        assertThat(asking.repeatMs()).isInfinite();
+        assertThat(asking.onFailed()).as("a watch that was reset").isZero();
     }
 
     /** Ever longer, up to a wait that leaves an answer its time, whatever the service asks for. */
     @Test
     void aServiceForAllIsLeftAloneEverLongerAndNeverTooLong() {
-        Asking asking = asking(false);
-        asking.heard(8, false, 7, 0);
+        PollSchedule asking = asking(false);
+        asking.onList(8, false, 7, 0);
         assertThat(asking.next().waitMs()).isGreaterThanOrEqualTo(15_000);
-        assertThat(asking.next().withinMs()).isLessThanOrEqualTo(asking.next().waitMs() + 7_000);
-        assertThat(asking.pressMs()).isInfinite();
-        double first = asking.failedMs();
+        assertThat(asking.next().timeoutMs()).isLessThanOrEqualTo(asking.next().waitMs() + 7_000);
+        assertThat(asking.repeatMs()).isInfinite();
+        double first = asking.onFailed();
         double last = 0;
-        for (int i = 0; i < 8; i++) last = asking.failedMs();
+        for (int i = 0; i < 8; i++) last = asking.onFailed();
         assertThat(first).isLessThanOrEqualTo(200);
         assertThat(last).isBetween(600.0, 1_200.0);
-        assertThat(asking.refusedMs(9_000)).isBetween(1_200.0, TOLD_MS - 4_000);
+        assertThat(asking.onRejected(9_000)).isBetween(1_200.0, TOLD_MS - 4_000);
     }
 
     /** What discovery does with calls until it can be reached. */
@@ -90,18 +90,19 @@
      */
     private static double newsAfterMs(
             boolean agent, Fault fault, From from, double faultMs, double replyMs, long seed) {
-        Asking asking = new Asking(agent, from == From.START_WITH_NOTHING ? -1 : 7, new SplittableRandom(seed));
+        PollSchedule asking =
+                new PollSchedule(agent, from == From.START_WITH_NOTHING ? -1 : 7, new SplittableRandom(seed));
         PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparingDouble(Due::atMs));
         int[] turn = {0};
         double newsMs = Double.NaN;
-        double firstMs = asking.firstMs();
+        double firstMs = asking.firstDelayMs();
         if (from == From.WATCH) {
-            asking.heard(7, false, 7, 0);
-            firstMs = asking.failedMs();
+            asking.onList(7, false, 7, 0);
+            firstMs = asking.onFailed();
         }
         if (from == From.MOVE) {
-            asking.heard(7, false, 7, 0);
-            firstMs = asking.movedMs();
+            asking.onList(7, false, 7, 0);
+            firstMs = asking.onRedirected();
         }
         due.add(new Due(firstMs, What.ASK, 0));
         for (Due next = due.poll(); Double.isNaN(newsMs); next = due.poll()) {
@@ -111,27 +112,27 @@
                 case ASK -> {
                     if (!current) break;
                     int mine = ++turn[0];
-                    Asking.Query query = asking.next();
+                    PollSchedule.Poll query = asking.next();
                     if (now >= faultMs) due.add(new Due(now + replyMs, What.NEWS, mine));
                     else if (fault != Fault.SILENT) due.add(new Due(now + 5, What.FAULT, mine));
-                    due.add(new Due(now + query.withinMs(), What.EXPIRED, mine));
-                    double pressMs = asking.pressMs();
-                    if (pressMs < query.withinMs()) due.add(new Due(now + pressMs, What.ASK, mine));
+                    due.add(new Due(now + query.timeoutMs(), What.EXPIRED, mine));
+                    double pressMs = asking.repeatMs();
+                    if (pressMs < query.timeoutMs()) due.add(new Due(now + pressMs, What.ASK, mine));
                 }
-                case NEWS -> newsMs = asking.heard(8, true, 7, now) == Kind.NEWS ? now : newsMs;
+                case NEWS -> newsMs = asking.onList(8, true, 7, now) == Answer.CHANGED ? now : newsMs;
                 case FAULT, EXPIRED -> {
                     if (!current) break;
                     double againMs = next.what() == What.EXPIRED
-                            ? asking.failedMs()
+                            ? asking.onFailed()
                             : switch (fault) {
-                                case REFUSES -> asking.refusedMs(0);
-                                case REFUSES_FOR_LONG -> asking.refusedMs(60_000);
-                                case UNREADABLE -> asking.unreadMs();
+                                case REFUSES -> asking.onRejected(0);
+                                case REFUSES_FOR_LONG -> asking.onRejected(60_000);
+                                case UNREADABLE -> asking.onUnreadable();
                                 case OLDER -> {
-                                    asking.heard(5, true, 7, now);
-                                    yield asking.failedMs();
+                                    asking.onList(5, true, 7, now);
+                                    yield asking.onFailed();
                                 }
-                                default -> asking.failedMs();
+                                default -> asking.onFailed();
                             };
                     due.add(new Due(now + againMs, What.ASK, ++turn[0]));
                 }
@@ -172,9 +173,9 @@
         double[] refused = new double[60];
         double[] moved = new double[60];
         for (int i = 0; i < refused.length; i++) {
-            Asking asking = new Asking(false, 7, new SplittableRandom(i));
-            refused[i] = asking.refusedMs(60_000);
-            moved[i] = asking.movedMs();
+            PollSchedule asking = new PollSchedule(false, 7, new SplittableRandom(i));
+            refused[i] = asking.onRejected(60_000);
+            moved[i] = asking.onRedirected();
         }
         assertThat(DoubleStream.of(refused).max().orElse(0)
                         - DoubleStream.of(refused).min().orElse(0))
@@ -187,21 +188,21 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void anAnswerThatIsNoListLeadsToTheWholeOne(boolean agent) {
-        Asking asking = asking(agent);
-        asking.unreadMs();
+        PollSchedule asking = asking(agent);
+        asking.onUnreadable();
         assertThat(asking.next().target()).isEqualTo("/api/targets");
     }
 
     @ParameterizedTest
     @CsvSource({
         // version, whole, after ms since the first older one: what it is
-        "8, false, 0, NEWS", "8, true, 0, NEWS", "7, false, 0, NOTHING", "7, true, 0, NOTHING",
-        "6, true, 0, OLDER", "6, true, 1999, OLDER", "6, true, 2000, NEWS", "6, false, 60000, OLDER"
+        "8, false, 0, CHANGED", "8, true, 0, CHANGED", "7, false, 0, UNCHANGED", "7, true, 0, UNCHANGED",
+        "6, true, 0, OUTDATED", "6, true, 1999, OUTDATED", "6, true, 2000, CHANGED", "6, false, 60000, OUTDATED"
     })
-    void aListOlderThanOursIsNotBelievedAtOnce(long version, boolean whole, double afterMs, Kind kind) {
-        Asking asking = asking(true);
-        if (kind == Kind.OLDER || version < 7) asking.heard(5, true, 7, 1_000);
-        assertThat(asking.heard(version, whole, 7, 1_000 + afterMs)).isEqualTo(kind);
-        if (kind == Kind.OLDER) assertThat(asking.next().target()).isEqualTo("/api/targets");
+    void aListOlderThanOursIsNotBelievedAtOnce(long version, boolean whole, double afterMs, Answer kind) {
+        PollSchedule asking = asking(true);
+        if (kind == Answer.OUTDATED || version < 7) asking.onList(5, true, 7, 1_000);
+        assertThat(asking.onList(version, whole, 7, 1_000 + afterMs)).isEqualTo(kind);
+        if (kind == Answer.OUTDATED) assertThat(asking.next().target()).isEqualTo("/api/targets");
     }
 }
