Migration: hand-over and migrated streams in one package, in the field's terms

Cause: Post, Parcel and Notes in two packages named no job. The text and the bytes stay: tests read and write samples that the version before wrote.

--- /dev/null
+++ b/src/main/java/maplerail/migration/HandoverFile.java
@@ -0,0 +1,53 @@
+package maplerail.migration;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The file that carries a {@link HandoverSnapshot}: written beside its place, moved there in one step, and taken once. */
+public final class HandoverFile {
+    private static final Logger LOG = LoggerFactory.getLogger(HandoverFile.class);
+    private static final long MAX_BYTES = 4L << 20;
+
+    private final Path file;
+    private final Path temporary;
+
+    /**
+     * Names the file.
+     *
+     * @param folder the folder that both processes have
+     * @param process the id of this process
+     */
+    public HandoverFile(Path folder, long process) {
+        file = folder.resolve("maplerail-handover.json");
+        temporary = folder.resolve("maplerail-handover-" + process + ".tmp");
+    }
+
+    /** Leaves a text for the next process; a failure is logged, as the text is only missed. */
+    public void leave(String text) {
+        try {
+            Files.writeString(temporary, text);
+            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            LOG.warn("handover not written file={} error={}", file, e.toString());
+        }
+    }
+
+    /** Takes the text that another process left, if there is one; of a file that is too large, an empty text. */
+    public Optional<String> take() {
+        try {
+            if (!Files.isRegularFile(file)) return Optional.empty();
+            byte[] bytes = Files.size(file) <= MAX_BYTES ? Files.readAllBytes(file) : new byte[0];
+            Files.delete(file);
+            return Optional.of(new String(bytes, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            LOG.warn("handover not taken file={} error={}", file, e.toString());
+            return Optional.empty();
+        }
+    }
+}
--- a/src/main/java/maplerail/takeover/Descriptors.java
+++ b/src/main/java/maplerail/migration/SocketDescriptors.java
@@ -1,4 +1,4 @@
-package maplerail.takeover;
+package maplerail.migration;
 
 import java.io.FileDescriptor;
 import java.io.IOException;
@@ -11,12 +11,12 @@
 import java.nio.channels.spi.SelectorProvider;
 
 /**
- * A channel's descriptor, and a channel of a descriptor. The platform's own classes do both for inherited channels and
+ * The descriptor of a channel, and a channel of a descriptor. The JDK's own classes do both for inherited channels and
  * show neither; the program's manifest opens their package ({@code Add-Opens: java.base/sun.nio.ch}). Where they are not
  * as expected an {@link IOException} says so, and nothing is handed on.
  */
-final class Descriptors {
-    private Descriptors() {}
+final class SocketDescriptors {
+    private SocketDescriptors() {}
 
     static FileDescriptor of(SocketChannel channel) throws IOException {
         try {
--- a/src/main/java/maplerail/server/HandoverService.java
+++ b/src/main/java/maplerail/server/HandoverService.java
@@ -1,12 +1,14 @@
 package maplerail.server;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import maplerail.core.Broker;
-import maplerail.handover.Handover;
-import maplerail.handover.Notes;
+import maplerail.migration.HandoverFile;
+import maplerail.migration.HandoverSnapshot;
 import maplerail.net.XnioLoop;
+import maplerail.routing.RoutingEvent.PrefixCached;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
@@ -17,7 +19,7 @@
     private static final double TAKE_OVER_MS = 20_000; // after a start, for which another process may leave its notes
     private static final double POLL_MS = 50;
 
-    private final Handover handover;
+    private final HandoverFile file;
     private final XnioWorker worker;
     private final XnioLoop loop;
     private final Broker broker;
@@ -30,7 +32,7 @@
      * @param stopping whether this process is stopping: it must not take what it has just left itself
      */
     HandoverService(Path folder, XnioWorker worker, XnioLoop loop, Broker broker, BooleanSupplier stopping) {
-        this.handover = new Handover(folder, ProcessHandle.current().pid());
+        this.file = new HandoverFile(folder, ProcessHandle.current().pid());
         this.worker = worker;
         this.loop = loop;
         this.broker = broker;
@@ -39,8 +41,8 @@
 
     /** Leaves what this process knows; called on the loop. */
     void leave() {
-        Notes notes = new Notes(loop.nowMs(), broker.cachedPrefixes());
-        worker.execute(() -> handover.leave(notes.text()));
+        HandoverSnapshot snapshot = new HandoverSnapshot(loop.nowMs(), broker.cachedPrefixes());
+        worker.execute(() -> file.leave(snapshot.text()));
     }
 
     /** Polls for a while for what a process that stops leaves: it does so once this one can serve. Called on the loop. */
@@ -51,12 +53,12 @@
     private void takeOver(double untilMs) {
         worker.execute(() -> {
             if (stopping.getAsBoolean()) return;
-            Optional<Notes> notes = Optional.ofNullable(handover.take()).map(text -> Notes.read(text, loop.nowMs()));
-            if (notes.isPresent()) {
-                LOG.info(
-                        "cached prefixes taken over count={}",
-                        notes.get().held().size());
-                loop.execute(() -> broker.restoreCachedPrefixes(notes.get().held()));
+            Optional<HandoverSnapshot> snapshot =
+                    file.take().flatMap(text -> HandoverSnapshot.read(text, loop.nowMs()));
+            if (snapshot.isPresent()) {
+                List<PrefixCached> cached = snapshot.get().cached();
+                LOG.info("cached prefixes taken over count={}", cached.size());
+                loop.execute(() -> broker.restoreCachedPrefixes(cached));
             } else if (loop.nowMs() < untilMs) {
                 loop.at(loop.nowMs() + POLL_MS, () -> takeOver(untilMs));
             }
--- a/src/main/java/maplerail/server/StreamMigration.java
+++ b/src/main/java/maplerail/server/StreamMigration.java
@@ -18,11 +18,11 @@
 import maplerail.front.Door;
 import maplerail.front.platform.ContinuedAnswer;
 import maplerail.metrics.Metrics;
+import maplerail.migration.DescriptorChannel;
+import maplerail.migration.MigratedStream;
 import maplerail.net.Call;
 import maplerail.net.EngineClient;
 import maplerail.net.XnioLoop;
-import maplerail.takeover.Parcel;
-import maplerail.takeover.Post;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -52,7 +52,7 @@
     private final Door clients;
     private final Metrics metrics;
     private final int maxAdopted;
-    private Post inbox;
+    private DescriptorChannel inbox;
     private boolean stopping;
     private boolean connected;
     private int inTransit;
@@ -92,7 +92,7 @@
         metrics.streams(0, 0);
         worker.execute(() -> {
             try {
-                Post listening = Post.listen(folder, process, this::adopt);
+                DescriptorChannel listening = DescriptorChannel.listen(folder, process, this::adopt);
                 loop.execute(() -> {
                     inbox = listening;
                     if (stopping) IoUtils.safeClose(inbox);
@@ -104,7 +104,7 @@
     }
 
     /** Called on the thread on which streams arrive; the loop decides, unless it takes too long. */
-    private boolean adopt(Parcel stream, SocketChannel client, SocketChannel engine) {
+    private boolean adopt(MigratedStream stream, SocketChannel client, SocketChannel engine) {
         AtomicBoolean decided = new AtomicBoolean();
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         loop.execute(() -> {
@@ -116,13 +116,13 @@
             boolean loopDecides = !decided.compareAndSet(false, true);
             if (loopDecides && result.join()) return true;
         } catch (InterruptedException | ExecutionException e) {
-            LOG.warn("stream not adopted request={} error={}", stream.id(), e.toString());
+            LOG.warn("stream not adopted request={} error={}", stream.requestId(), e.toString());
         }
         IoUtils.safeClose(client, engine);
         return false;
     }
 
-    private boolean adoptOnLoop(Parcel stream, SocketChannel client, SocketChannel engine) {
+    private boolean adoptOnLoop(MigratedStream stream, SocketChannel client, SocketChannel engine) {
         if (stopping || broker.adoptedStreams() >= maxAdopted) return false;
         StreamConnection fromEngine;
         StreamConnection toClient;
@@ -130,19 +130,19 @@
             fromEngine = AdoptedSocket.adopt(loop.thread(), engine);
             toClient = AdoptedSocket.adopt(loop.thread(), client);
         } catch (IOException e) {
-            LOG.warn("stream not adopted request={} error={}", stream.id(), e.toString());
+            LOG.warn("stream not adopted request={} error={}", stream.requestId(), e.toString());
             return false;
         }
         ContinuedAnswer answer = new ContinuedAnswer(toClient, stream.closes(), clients::resume);
         answer.hold(broker.adoptStream(
-                stream.kind(),
-                stream.id(),
+                stream.requestClass(),
+                stream.requestId(),
                 answer,
                 STALL_TIMEOUT_MS,
                 observer -> engines.adopt(stream.engine(), fromEngine, observer)));
         adopted++;
         metrics.streams(adopted, handedOn);
-        LOG.debug("stream adopted request={}", stream.id());
+        LOG.debug("stream adopted request={}", stream.requestId());
         return true;
     }
 
@@ -156,7 +156,7 @@
     }
 
     private void connect(double untilMs) {
-        Optional<Post.Sender> outbox = findOutbox();
+        Optional<DescriptorChannel.Sender> outbox = findOutbox();
         loop.execute(() -> {
             if (outbox.isPresent()) {
                 connected = true;
@@ -168,16 +168,16 @@
     }
 
     /** The process that takes streams; empty if there is none yet. */
-    private Optional<Post.Sender> findOutbox() {
+    private Optional<DescriptorChannel.Sender> findOutbox() {
         try {
-            return Optional.ofNullable(Post.Sender.to(folder, process));
+            return DescriptorChannel.Sender.connect(folder, process);
         } catch (IOException | LinkageError e) {
             LOG.debug("no process takes streams yet error={}", e.toString());
             return Optional.empty();
         }
     }
 
-    private void sendBatch(Post.Sender outbox, double untilMs) {
+    private void sendBatch(DescriptorChannel.Sender outbox, double untilMs) {
         if (loop.nowMs() >= untilMs) {
             worker.execute(() -> IoUtils.safeClose(outbox));
             return;
@@ -204,16 +204,17 @@
         });
     }
 
-    private void sendNextBatch(Post.Sender outbox, double untilMs) {
+    private void sendNextBatch(DescriptorChannel.Sender outbox, double untilMs) {
         loop.at(loop.nowMs() + BATCH_INTERVAL_MS, () -> sendBatch(outbox, untilMs));
     }
 
     /** Sends streams and collects those that the other process did not take; false once it can't be reached any more. */
-    private static boolean sendAll(Post.Sender outbox, List<DetachedStream> batch, List<DetachedStream> lost) {
+    private static boolean sendAll(
+            DescriptorChannel.Sender outbox, List<DetachedStream> batch, List<DetachedStream> lost) {
         boolean works = true;
         for (DetachedStream stream : batch) {
             try {
-                if (!works || !outbox.send(parcel(stream), clientChannel(stream), engineChannel(stream)))
+                if (!works || !outbox.send(describe(stream), clientChannel(stream), engineChannel(stream)))
                     lost.add(stream);
             } catch (IOException e) {
                 LOG.warn("streams are no longer handed on error={}", e.toString());
@@ -255,9 +256,9 @@
         return channel;
     }
 
-    private static Parcel parcel(DetachedStream stream) throws IOException {
+    private static MigratedStream describe(DetachedStream stream) throws IOException {
         ContinuedAnswer.Held client = (ContinuedAnswer.Held) stream.clientConnection();
-        return new Parcel(
+        return new MigratedStream(
                 stream.requestClass(),
                 stream.requestId(),
                 client.closes(),
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -194,7 +194,7 @@
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
-                .resideInAPackage("maplerail.handover..")
+                .haveNameMatching("maplerail\\.migration\\.Handover.*")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -209,7 +209,7 @@
                 .check(classes);
         ArchRuleDefinition.noClasses()
                 .that()
-                .resideInAPackage("maplerail.takeover..")
+                .resideInAPackage("maplerail.migration..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
--- a/src/test/java/maplerail/takeover/PostTest.java
+++ b/src/test/java/maplerail/migration/DescriptorChannelTest.java
@@ -1,4 +1,4 @@
-package maplerail.takeover;
+package maplerail.migration;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -11,6 +11,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -19,8 +20,8 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-class PostTest {
-    private static final Parcel PARCEL = new Parcel(
+class DescriptorChannelTest {
+    private static final MigratedStream STREAM = new MigratedStream(
             "lookup",
             "9b1f03aa5c7e2d41",
             true,
@@ -30,8 +31,8 @@
     @TempDir
     Path folder;
 
-    static Stream<Arguments> notParcels() throws IOException {
-        byte[] good = PARCEL.bytes();
+    static Stream<Arguments> malformed() throws IOException {
+        byte[] good = STREAM.bytes();
         byte[] form = good.clone();
         form[0] = 9;
         byte[] closes = good.clone();
@@ -46,14 +47,24 @@
 
     @ParameterizedTest(name = "{0}")
     @MethodSource
-    void notParcels(String what, byte[] bytes) throws IOException {
-        assertThat(Parcel.read(PARCEL.bytes())).isEqualTo(PARCEL);
-        assertThatThrownBy(() -> Parcel.read(bytes)).isInstanceOf(IOException.class);
+    void malformed(String what, byte[] bytes) throws IOException {
+        assertThat(MigratedStream.read(STREAM.bytes())).isEqualTo(STREAM);
+        assertThatThrownBy(() -> MigratedStream.read(bytes)).isInstanceOf(IOException.class);
     }
 
+    /** Written by the version before package migration: both run beside each other during an upgrade. */
     @Test
-    void aParcelThatIsTooLongIsNotSent() {
-        Parcel huge = new Parcel("k", "x".repeat(Parcel.MOST), false, PARCEL.client(), PARCEL.engine());
+    void theBytesOfEarlierVersionsAreReadAndWritten() throws IOException {
+        byte[] earlier = HexFormat.of()
+                .parseHex("01017f0000019c417f000002ffff00066c6f6f6b7570001039623166303361613563376532643431");
+        assertThat(MigratedStream.read(earlier)).isEqualTo(STREAM);
+        assertThat(STREAM.bytes()).isEqualTo(earlier);
+    }
+
+    @Test
+    void aDescriptionThatIsTooLongIsNotSent() {
+        MigratedStream huge =
+                new MigratedStream("k", "x".repeat(MigratedStream.MAX_BYTES), false, STREAM.client(), STREAM.engine());
         assertThatThrownBy(huge::bytes).isInstanceOf(IOException.class);
     }
 
@@ -61,11 +72,11 @@
     @Test
     void socketsGoFromOneToTheOther() throws Exception {
         AtomicReference<SocketChannel> client = new AtomicReference<>();
-        AtomicReference<Parcel> told = new AtomicReference<>();
-        try (Post post = Post.listen(folder, 7, (parcel, c, e) -> {
-                    told.set(parcel);
+        AtomicReference<MigratedStream> told = new AtomicReference<>();
+        try (DescriptorChannel post = DescriptorChannel.listen(folder, 7, (stream, c, e) -> {
+                    told.set(stream);
                     client.set(c);
-                    return !parcel.id().equals("unwanted");
+                    return !stream.requestId().equals("unwanted");
                 });
                 ServerSocketChannel listening =
                         ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -73,12 +84,16 @@
                 SocketChannel near = listening.accept();
                 SocketChannel farEngine = SocketChannel.open(listening.getLocalAddress());
                 SocketChannel engine = listening.accept()) {
-            assertThat(Post.Sender.to(folder, 7)).as("itself").isNull();
-            assertThat(Post.Sender.to(folder.resolve("other"), 8)).as("nobody").isNull();
-            try (Post.Sender sender = Post.Sender.to(folder, 8)) {
-                assertThat(sender.send(PARCEL, near, engine)).isTrue();
-                assertThat(told.get()).isEqualTo(PARCEL);
-                Parcel unwanted = new Parcel("lookup", "unwanted", false, PARCEL.client(), PARCEL.engine());
+            assertThat(DescriptorChannel.Sender.connect(folder, 7)).as("itself").isEmpty();
+            assertThat(DescriptorChannel.Sender.connect(folder.resolve("other"), 8))
+                    .as("nobody")
+                    .isEmpty();
+            try (DescriptorChannel.Sender sender =
+                    DescriptorChannel.Sender.connect(folder, 8).orElseThrow()) {
+                assertThat(sender.send(STREAM, near, engine)).isTrue();
+                assertThat(told.get()).isEqualTo(STREAM);
+                MigratedStream unwanted =
+                        new MigratedStream("lookup", "unwanted", false, STREAM.client(), STREAM.engine());
                 SocketChannel mine = client.get();
                 assertThat(sender.send(unwanted, near, engine)).isFalse();
                 near.close(); // what another has too goes on
--- a/src/test/java/maplerail/handover/HandoverTest.java
+++ b/src/test/java/maplerail/migration/HandoverTest.java
@@ -1,4 +1,4 @@
-package maplerail.handover;
+package maplerail.migration;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,7 +14,7 @@
 
 class HandoverTest {
     private static final double NOW = 1_796_155_158_000.0;
-    private static final Notes NOTES = new Notes(
+    private static final HandoverSnapshot SNAPSHOT = new HandoverSnapshot(
             NOW,
             List.of(
                     new PrefixCached(true, -7, 0xa89b790ba0b6L, 2_352, NOW - 40),
@@ -25,7 +25,17 @@
 
     @Test
     void whatIsWrittenIsRead() {
-        assertThat(Notes.read(NOTES.text(), NOW + 30)).isEqualTo(NOTES);
+        assertThat(HandoverSnapshot.read(SNAPSHOT.text(), NOW + 30)).contains(SNAPSHOT);
+    }
+
+    /** Written by the version before package migration: both run beside each other during an upgrade. */
+    @Test
+    void theTextOfEarlierVersionsIsReadAndWritten() {
+        String earlier =
+                "{\"form\":1,\"written_ms\":1.796155158E12,\"held\":[[1,\"fffffffffffffff9\",\"a89b790ba0b6\",2352,"
+                        + "1796155157960],[0,\"299e4f76b58ad\",\"d1fefdb73830\",1785,1796155139000]]}";
+        assertThat(HandoverSnapshot.read(earlier, NOW + 30)).contains(SNAPSHOT);
+        assertThat(SNAPSHOT.text()).isEqualTo(earlier);
     }
 
     /** Nothing in it is needed, so whatever is odd about it only means that there is none. */
@@ -44,35 +54,36 @@
             ]]}          | ]]
             """)
     void whatIsOddIsIgnored(String right, String wrong) {
-        String text = NOTES.text();
+        String text = SNAPSHOT.text();
         assertThat(text).contains(right);
-        assertThat(Notes.read(text.replace(right, wrong), NOW + 30)).isNull();
+        assertThat(HandoverSnapshot.read(text.replace(right, wrong), NOW + 30)).isEmpty();
     }
 
     @ParameterizedTest
     @CsvSource({"0,true", "4900,true", "5100,false", "86400000,false", "-40,true", "-1000,false"})
     void whatIsOldOrFromTheFutureIsIgnored(double ageMs, boolean believed) {
-        assertThat(Notes.read(new Notes(NOW, List.of()).text(), NOW + ageMs) != null)
+        assertThat(HandoverSnapshot.read(new HandoverSnapshot(NOW, List.of()).text(), NOW + ageMs)
+                        .isPresent())
                 .isEqualTo(believed);
     }
 
     @Test
     void cutAnywhereItIsIgnored() {
-        String text = NOTES.text();
+        String text = SNAPSHOT.text();
         for (int length = 0; length < text.length(); length++) {
-            assertThat(Notes.read(text.substring(0, length), NOW))
+            assertThat(HandoverSnapshot.read(text.substring(0, length), NOW))
                     .as(text.substring(0, length))
-                    .isNull();
+                    .isEmpty();
         }
     }
 
     @Test
     void theLastTextIsTakenOnceAndNothingIsLeftBehind() throws Exception {
-        new Handover(folder, 1).leave("one");
-        new Handover(folder, 2).leave("two");
-        Handover next = new Handover(folder, 3);
-        assertThat(next.take()).isEqualTo("two");
-        assertThat(next.take()).isNull();
+        new HandoverFile(folder, 1).leave("one");
+        new HandoverFile(folder, 2).leave("two");
+        HandoverFile next = new HandoverFile(folder, 3);
+        assertThat(next.take()).contains("two");
+        assertThat(next.take()).isEmpty();
         try (Stream<Path> left = Files.list(folder)) {
             assertThat(left).isEmpty();
         }
@@ -80,8 +91,8 @@
 
     @Test
     void aFolderThatIsNotThereCostsNothing() {
-        Handover none = new Handover(folder.resolve("none"), 1);
+        HandoverFile none = new HandoverFile(folder.resolve("none"), 1);
         none.leave("one");
-        assertThat(none.take()).isNull();
+        assertThat(none.take()).isEmpty();
     }
 }
