--- a/src/test/java/maplerail/routing/d2lpm/PolicyHarness.java
+++ b/src/test/java/maplerail/routing/d2lpm/PolicyHarness.java
@@ -22,9 +22,9 @@
 import maplerail.routing.RoutingSettings.Rules;
 import maplerail.routing.RoutingSettings.Tenant;
 
-/** A gateway under test: a module, a clock that the test moves, and what the module asked for. */
+/** A gateway under test: a policy, a clock that the test moves, and what the policy asked for. */
 final class PolicyHarness {
-    /** RoutingSettings that a test changes before it starts the module. */
+    /** Settings that a test changes before it starts the policy. */
     Idempotency idempotency = Idempotency.IDEMPOTENT;
 
     IdempotencyScope keyScope = IdempotencyScope.ALL;
