--- a/src/main/java/maplerail/front/Turnstile.java
+++ b/src/main/java/maplerail/front/Turnstile.java
@@ -50,12 +50,13 @@
     }
 
     /**
-     * Guards against a crowd before a program that runs its code for the first time and is behind already: let in
-     * to be refused, each client comes again at once and costs as much as if it had been served.
+     * Lets a few in, and looks again after a pause until nobody has come meanwhile: a crowd that XNIO hands over one
+     * connection at a time is held back as well. A program that is behind already lets in one at a time: let in only to
+     * be refused, each client would come again at once and cost as much as if it had been served.
      */
     private void turn(int most) {
-        for (int i = 0; i < most && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
         turning = !waiting.isEmpty();
+        for (int i = 0; i < most && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
         double due = loop.nowMs() + PAUSE_MS;
         if (turning) loop.at(due, () -> turn(loop.nowMs() - due < LATE_MS ? AT_ONCE : 1));
     }
