Log and count what becomes of attempts, reserved states and rejected requests

Cause: the incident's logs said 'engine ejected' and nothing else: no request, attempt, connection or release could be followed, and engines were named by a number that no record has. Change: one line an event with the client's request id, the engine by number and discovery's name, the connection and its use, and how much was written there; at most 200 lines at once and 50 a second, what is left out is counted. Figures: attempts by outcome, reservations overdue, releases and their calls, connections closed by reason. Ejections name the failure rate.

--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -23,6 +23,7 @@
     private final StateReleaser releaser;
     private final ResponseRelay relay;
     private final Metrics metrics;
+    private final RequestEventLog events;
     private final Set<RequestRecord> unsettled = new LinkedHashSet<>();
     private RoutingStage routing;
     private AttemptListener listener = AttemptListener.NONE;
@@ -35,7 +36,8 @@
             RequestRegistry registry,
             StateReleaser releaser,
             ResponseRelay relay,
-            Metrics metrics) {
+            Metrics metrics,
+            RequestEventLog events) {
         this.transport = transport;
         this.loop = loop;
         this.directory = directory;
@@ -43,6 +45,7 @@
         this.releaser = releaser;
         this.relay = relay;
         this.metrics = metrics;
+        this.events = events;
     }
 
     /** Sets where events are reported; to be called once, before any other method. */
@@ -214,6 +217,7 @@
         if (!held || loop.nowMs() < reservedUntilMs(record)) return;
         if (record.attempts.stream().anyMatch(a -> a.isInFlight() && !a.isUnsent())) return;
         record.reservationExpired = true;
+        events.reservationOverdue(record);
         releaser.releaseConfirmed(record);
         for (Attempt attempt : List.copyOf(record.attempts)) {
             if (attempt.ended) continue;
@@ -238,6 +242,7 @@
         if (attempt.ended) return;
         attempt.ended = true;
         if (attempt.timeout != null) attempt.timeout.cancel();
+        events.attemptEnded(attempt, outcome, loop.nowMs() - attempt.sentMs);
         attempt.maybeExecuted = !attempt.readsPrompt && !outcome.provesNoEffect();
         RequestRecord record = attempt.record;
         unsettled.add(record);
--- a/src/main/java/maplerail/core/AttemptHandle.java
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -11,6 +11,11 @@
     /** Takes in what has arrived of the answer, before the event loop gets to it. */
     default void poll() {}
 
+    /** For the log, as {@code key=value}: the connection, and how much of the attempt was written to it. */
+    default String describe() {
+        return "";
+    }
+
     /** Stops reading the answer. */
     void pause();
 
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import maplerail.core.ResponseObserver.Reason;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
@@ -44,6 +45,7 @@
     private final AdoptedStreams adoptedStreams;
     private final Metrics metrics;
     private final Consumer<String> log;
+    private final RequestEventLog events;
     private RequestTerms terms;
     private double latestDeadlineMs = Double.POSITIVE_INFINITY;
 
@@ -67,6 +69,7 @@
         this.admission = admission;
         this.log = log;
         this.metrics = metrics;
+        events = new RequestEventLog(loop, log, metrics);
         terms = RequestTerms.of(settings, classNames, metrics);
         adoptedStreams = new AdoptedStreams(loop, metrics);
         directory = new EngineDirectory(settings.engineKinds());
@@ -74,7 +77,7 @@
         registry = new RequestRegistry(admission, releaser, metrics);
         intake = new RequestIntake(loop, registry);
         relay = new ResponseRelay(registry, loop);
-        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, releaser, relay, metrics);
+        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, releaser, relay, metrics, events);
         routing = new RoutingStage(policy, loop, new ActionHandler(), dispatcher::settle, log);
         dispatcher.connect(routing);
     }
@@ -104,6 +107,7 @@
     private void reject(RequestRecord record, AdmissionStage.Rejection rejection) {
         registry.answer(record, rejection.reason() == Reason.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
         registry.settle(record);
+        events.requestEnded(record, "rejected", rejection.reason());
         record.observer.onRejected(rejection.reason(), rejection.retryAfterMs());
     }
 
@@ -135,6 +139,7 @@
     private void fail(long number, Reason reason) {
         RequestRecord record = registry.find(number);
         if (record == null || !registry.answer(record, Verdict.ERRORED)) return;
+        events.requestEnded(record, "failed", reason);
         registry.settle(record);
         record.observer.onFailed(reason);
     }
@@ -167,6 +172,11 @@
         dispatcher.setEndpointRefresh(refresh);
     }
 
+    /** Sets how engines are named in the log. */
+    public void setEngineNames(LongFunction<String> names) {
+        events.setEngineNames(names);
+    }
+
     /** Sets who is told how attempts ended. */
     public void setAttemptListener(AttemptListener listener) {
         dispatcher.setListener(listener);
@@ -297,6 +307,7 @@
         public void onRejectRequest(RejectRequest order) {
             RequestRecord record = registry.find(order.requestId());
             if (record == null || !registry.answer(record, Verdict.DEFERRED)) return;
+            events.requestEnded(record, "rejected", Reason.OVERLOAD);
             registry.settle(record);
             record.observer.onRejected(Reason.OVERLOAD, order.retryAfterMs());
         }
--- /dev/null
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -0,0 +1,39 @@
+package maplerail.metrics;
+
+import java.util.Locale;
+
+/** What is counted each time it happens; the figure's name is the constant's, in lower case. */
+public enum EventCount {
+    /** Attempts that ended so. */
+    ATTEMPTS_COMPLETED,
+    ATTEMPTS_PROMPT_READ,
+    ATTEMPTS_OVERLOADED,
+    ATTEMPTS_STATE_LOST,
+    ATTEMPTS_ERROR,
+    ATTEMPTS_RESET,
+    ATTEMPTS_UNREACHABLE,
+    ATTEMPTS_TIMEOUT,
+    ATTEMPTS_CANCELLED,
+    ATTEMPTS_NOT_SENT,
+    /** States that were reserved for as long as the settings allow, and released for that. */
+    RESERVATIONS_OVERDUE,
+    /** Releases begun, calls made for them, and those of which no engine has answered a call. */
+    RELEASES,
+    RELEASE_CALLS,
+    RELEASES_UNANSWERED,
+    /** Requests refused because the process sends its clients away. */
+    REQUESTS_REFUSED_DRAINING,
+    /** Clients' connections that the program ended, by its reason. */
+    CONNECTIONS_CLOSED_REQUEST_TIMEOUT,
+    CONNECTIONS_CLOSED_IDLE,
+    CONNECTIONS_CLOSED_FOR_ROOM,
+    CONNECTIONS_CLOSED_DRAINING,
+    CONNECTIONS_CLOSED_AFTER_ANSWER,
+    /** Log lines left out, as there were too many. */
+    LOG_LINES_SUPPRESSED;
+
+    /** The figure's name. */
+    public String figureName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
  * What the program counts of its work. Written on the loop, read from anywhere: a reader sees each figure as it is, and
@@ -22,6 +23,7 @@
     private final AtomicLong loaded = new AtomicLong();
     private final AtomicLong invalid = new AtomicLong();
     private final AtomicLong lists = new AtomicLong();
+    private final AtomicLongArray events = new AtomicLongArray(EventCount.values().length);
     private volatile int listed;
     private volatile int avoided;
     private volatile long[] peers; // sent, bytes sent, heard, dropped; null where gateways do not tell each other
@@ -83,6 +85,11 @@
         lists.incrementAndGet();
     }
 
+    /** Something happened once. */
+    public void count(EventCount event) {
+        events.incrementAndGet(event.ordinal());
+    }
+
     /** Engines in the list, and those of them that get nothing now though the list would have it. */
     public void engines(int inList, int passedOver) {
         listed = inList;
@@ -129,6 +136,9 @@
         out.add(new Figure("conf_loaded", loaded.get(), true));
         out.add(new Figure("conf_invalid", invalid.get(), true));
         out.add(new Figure("lists_rejected", lists.get(), true));
+        for (EventCount event : EventCount.values()) {
+            out.add(new Figure(event.figureName(), events.get(event.ordinal()), true));
+        }
         long[] moved = streams;
         if (moved != null) {
             out.add(new Figure("streams_taken_over", moved[0], true));
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -33,6 +33,7 @@
     private boolean failing;
     private boolean done;
     private int unitsSeen;
+    private String connection = "none";
 
     Call(Pool pool, ClientRequest request, byte[] body, Reply reply) {
         this.pool = pool;
@@ -126,6 +127,12 @@
         pool.loop().execute(this::read);
     }
 
+    /** For the log: its connection, and how much of it was written there, which is no proof of arrival. */
+    String describe() {
+        String written = whole ? "all" : wrote ? "part" : "none";
+        return "connection=" + connection + " written=" + written;
+    }
+
     /** Reads what has come already, without waiting for its turn on the loop. */
     public void poll() {
         read();
@@ -155,6 +162,7 @@
         calm();
         disconnect = null;
         link = to;
+        connection = to.describe();
         link.connection.getSourceChannel().setReadListener(c -> read());
         link.connection.getSinkChannel().setWriteListener(c -> write());
         link.connection.getSourceChannel().resumeReads();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -50,6 +50,7 @@
     private final XnioLoop loop;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Map<Long, InetSocketAddress> left = new LinkedHashMap<>();
+    private final Map<Long, String> hosts = new HashMap<>(); // of both
     private int releasing;
 
     /** Makes a client that opens its connections from a pool. */
@@ -62,6 +63,7 @@
     public void hear(EngineList list) {
         if (list.whole()) leave(id -> list.members().stream().noneMatch(member -> member.engine() == id));
         addresses.putAll(list.addresses());
+        hosts.putAll(list.hosts());
         left.keySet().removeAll(list.addresses().keySet());
         for (Endpoint member : list.members()) {
             if (member.state() == EndpointState.REMOVED) leave(id -> id == member.engine());
@@ -73,7 +75,11 @@
             if (!gone.test(entry.getKey())) return false;
             left.put(entry.getKey(), entry.getValue());
             // Guards against a table that grows with every engine that ever was.
-            if (left.size() > MOST_LEFT) left.remove(left.keySet().iterator().next());
+            if (left.size() > MOST_LEFT) {
+                long oldest = left.keySet().iterator().next();
+                left.remove(oldest);
+                hosts.remove(oldest);
+            }
             return true;
         });
     }
@@ -82,6 +88,11 @@
         return addresses.getOrDefault(engine, left.get(engine));
     }
 
+    /** How the log names an engine: by its number, as the policy does, and by the name that discovery gives it. */
+    public String describe(long engine) {
+        return Long.toHexString(engine) + "/" + hosts.getOrDefault(engine, "unknown");
+    }
+
     /** Engines whose address is known. */
     public int known() {
         return addresses.size() + left.size();
--- a/src/main/java/maplerail/net/Link.java
+++ b/src/main/java/maplerail/net/Link.java
@@ -11,12 +11,21 @@
     final InetSocketAddress to;
     final StreamConnection connection;
     double idleSinceMs;
+    private final long number;
+    private int uses;
 
-    Link(InetSocketAddress to, StreamConnection connection) {
+    /** {@code number} names it in the log, together with its use. */
+    Link(long number, InetSocketAddress to, StreamConnection connection) {
+        this.number = number;
         this.to = to;
         this.connection = connection;
     }
 
+    /** Its number and which use of it this is, for the log. */
+    String describe() {
+        return number + "/" + ++uses;
+    }
+
     boolean open() {
         return connection.isOpen();
     }
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -42,6 +42,7 @@
     private final Map<InetSocketAddress, ArrayDeque<Call>> queued = new HashMap<>();
     private final Set<Link> links = new HashSet<>();
     private int connectingInAll;
+    private long lastNumber;
     private boolean sweeping;
     private double settleMs = SETTLE_MS;
     private Runnable beforeUse = () -> {};
@@ -189,7 +190,7 @@
     }
 
     private Link own(InetSocketAddress to, StreamConnection connection) {
-        Link link = new Link(to, connection);
+        Link link = new Link(++lastNumber, to, connection);
         links.add(link);
         connection.getCloseSetter().set(closed -> {
             links.remove(link);
--- a/src/main/java/maplerail/net/Sent.java
+++ b/src/main/java/maplerail/net/Sent.java
@@ -19,6 +19,11 @@
         call.poll();
     }
 
+    @Override
+    public String describe() {
+        return call.describe();
+    }
+
     @Override
     public void pause() {
         call.pause();
--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -738,7 +738,7 @@
         engine.pace.resetWeight(1);
         engine.failureRate.resetWeight(0);
         String line = "engine ejected engine=" + Long.toHexString(engine.id) + " reason=" + reason;
-        actions.add(new RoutingAction.LogMessage(line));
+        actions.add(new RoutingAction.LogMessage(line + " failures=" + engine.failureRate.mean()));
     }
 
     /** At capacity: not now. In service: yes. Ejected: no. On trial: as much as its successes allow. */
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -128,6 +128,7 @@
                 this::onEndpointList,
                 metrics::listRejected);
         broker.setEndpointRefresh(discovery::refresh);
+        broker.setEngineNames(engines::describe);
         enginePool.beforeUse(discovery::refresh);
         tools = Optional.ofNullable(toolsConfig).map(this::createTools);
         peers = createPeers(config);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -45,6 +45,7 @@
     private final List<String> released = new ArrayList<>();
     private final List<String> wire = new ArrayList<>();
     private final List<String> caller = new ArrayList<>();
+    private final List<String> log = new ArrayList<>();
     private boolean ready = true;
     private boolean unsent;
     private boolean broken;
@@ -185,7 +186,7 @@
                 new AdmissionStage(AdmissionLimits.ofOpenRequests(3), loop, new SplittableRandom(1)),
                 loop,
                 engines,
-                line -> {},
+                log::add,
                 metrics,
                 List.of("a", "b", "c"));
         list(EndpointState.READY);
@@ -641,6 +642,30 @@
         assertThat(out).as("nothing is sent for a state that is gone").hasSize(3);
     }
 
+    /** An incident was worked from lines that named no request, no attempt and no release. */
+    @Test
+    void theLogNamesWhatFailedAndIsBoundedWhenEverythingDoes() {
+        take("a", send(READER));
+        out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
+        act(new RejectRequest(1, 0));
+        assertThat(log)
+                .anyMatch(line -> line.matches(
+                        "attempt ended request=a attempt=0 engine=1 role=reader outcome=RESET elapsed_ms=0 .*"))
+                .anyMatch(line -> line.startsWith("request rejected request=a class=a reason=OVERLOAD attempts=1 "));
+        for (int i = 0; i < 1_000; i++) {
+            take("b" + i, new RoutingAction.StartAttempt(i + 2, READER, 0));
+            out.get(out.size() - 1).answer.onEnded(AttemptOutcome.RESET, 0);
+            act(new RejectRequest(i + 2, 0));
+        }
+        assertThat(log).hasSizeBetween(150, 250);
+        loop.until(loop.now + 1_000);
+        take("c", new RoutingAction.StartAttempt(1_002, READER, 0));
+        out.get(out.size() - 1).answer.onEnded(AttemptOutcome.RESET, 0);
+        assertThat(log).anyMatch(line -> line.matches("log lines suppressed count=1[0-9]{3}"));
+        assertThat(metrics.figures())
+                .anyMatch(figure -> figure.name().equals("attempts_reset") && figure.value() == 1_002);
+    }
+
     /** A write that has arrived takes the state, however long it waits in its engine's queue. */
     @Test
     void aStateThatAWriteWaitsForIsKept() {
