States are released in time whatever becomes of the writes that were to take them

Cause: a write that was written to its connection was taken for one that had arrived. The check of a reserved state returned early then and was not armed again, and the end of such a write started the state's time anew; releases went out on pooled connections that may be silent as well, and asked others once only if that was allowed at that moment. Change: core.ReservationGuard: the limit runs from the last answer of an engine, every event that may leave a state sets a check of its own, each check releases what is due, and engines pass over what is waited for. A read that takes long is released now and then, as its answer may be lost. net.StateRelease: repeated until answered, on new connections and at others in turn.

--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -13,14 +13,11 @@
 
 /** Fourth stage: makes the attempts that the policy asks for, ends them, and reports how each one ended. */
 final class AttemptDispatcher {
-    /** Sockets allow 300 ms beyond the settings' limit for reservations; the rest is left to the release itself. */
-    private static final double RESERVATION_SLACK_MS = 180;
-
     private final EngineTransport transport;
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final RequestRegistry registry;
-    private final StateReleaser releaser;
+    private final ReservationGuard reservations;
     private final ResponseRelay relay;
     private final Metrics metrics;
     private final RequestEventLog events;
@@ -42,7 +39,7 @@
         this.loop = loop;
         this.directory = directory;
         this.registry = registry;
-        this.releaser = releaser;
+        this.reservations = new ReservationGuard(loop, releaser, events, this::endWithStateLost);
         this.relay = relay;
         this.metrics = metrics;
         this.events = events;
@@ -80,6 +77,7 @@
         } else {
             attempt.timeout = loop.at(deadlineMs, () -> onDeadline(attempt));
             attempt.handle = transport.send(order.engine(), record.request, deadlineMs, new Observer(attempt));
+            if (readsPrompt) reservations.onReadStarted(attempt);
         }
     }
 
@@ -156,8 +154,8 @@
         attempt.timeout.cancel();
         watchForStall(attempt, record.request.payload().stallTimeoutMs());
         record.deadlineTimer.cancel();
-        // The writer has taken the state; what a reader that was not told to stop holds later on has to be released.
-        record.possibleHolders.keySet().retainAll(record.brokenReaders);
+        // The writer has taken the state; what a reader that may not have heard of its end holds later is released.
+        record.possibleHolders.keySet().removeAll(record.confirmedHolders);
         record.confirmedHolders.clear();
         double elapsedMs = loop.nowMs() - attempt.sentMs;
         routing.report(new RoutingEvent.FirstToken(record.number, attempt.number, attempt.engine, elapsedMs));
@@ -198,32 +196,10 @@
         record.observer.onFailed(ResponseObserver.Reason.INVALID);
     }
 
-    /** A state is held from now on, or again, as what was in flight for it has ended. */
-    private void startReservation(RequestRecord record) {
-        record.heldSinceMs = loop.nowMs();
-        loop.at(reservedUntilMs(record), () -> checkReservation(record));
-    }
-
-    private static double reservedUntilMs(RequestRecord record) {
-        return record.heldSinceMs + record.terms.reservationLimitMs() + RESERVATION_SLACK_MS;
-    }
-
-    /**
-     * Releases a state that has been held for too long, as a write takes it only once it has arrived, and one connection
-     * after another may fail to come up. The policy is told what a writer would say: the state is lost.
-     */
-    private void checkReservation(RequestRecord record) {
-        boolean held = !record.confirmedHolders.isEmpty() && !record.answered && record.winner == null;
-        if (!held || loop.nowMs() < reservedUntilMs(record)) return;
-        if (record.attempts.stream().anyMatch(a -> a.isInFlight() && !a.isUnsent())) return;
-        record.reservationExpired = true;
-        events.reservationOverdue(record);
-        releaser.releaseConfirmed(record);
-        for (Attempt attempt : List.copyOf(record.attempts)) {
-            if (attempt.ended) continue;
-            attempt.handle.abort();
-            end(attempt, AttemptOutcome.STATE_LOST, 0);
-        }
+    /** Its state is being released: the policy is told what a writer would say. */
+    private void endWithStateLost(Attempt attempt) {
+        attempt.handle.abort();
+        end(attempt, AttemptOutcome.STATE_LOST, 0);
     }
 
     private void abortAll(RequestRecord record) {
@@ -246,7 +222,7 @@
         attempt.maybeExecuted = !attempt.readsPrompt && !outcome.provesNoEffect();
         RequestRecord record = attempt.record;
         unsettled.add(record);
-        recordHolders(attempt, outcome);
+        reservations.onAttemptEnded(attempt, outcome);
         // An answer may be complete without an event; it is the client's all the same.
         boolean completed = outcome == AttemptOutcome.COMPLETED;
         if (completed && record.winner == null && !record.answered) record.winner = attempt;
@@ -267,23 +243,6 @@
                 LoadReport.NONE));
     }
 
-    /** Notes where a state may be held after the end of an attempt. */
-    private void recordHolders(Attempt attempt, AttemptOutcome outcome) {
-        RequestRecord record = attempt.record;
-        boolean read = outcome == AttemptOutcome.PROMPT_READ;
-        boolean wasSent = outcome != AttemptOutcome.UNREACHABLE && outcome != AttemptOutcome.NOT_SENT;
-        if (read) {
-            record.confirmedHolders.add(attempt.engine);
-            record.reservationExpired = false;
-        }
-        if (read || wasSent && !record.confirmedHolders.isEmpty()) startReservation(record);
-        // A read that was cancelled may have been completed just then.
-        boolean mayBeRead = attempt.readsPrompt && !outcome.provesNoEffect();
-        if (read || mayBeRead) record.possibleHolders.put(attempt.engine, loop.nowMs());
-        boolean broken = outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.ERROR;
-        if (attempt.readsPrompt && broken) record.brokenReaders.add(attempt.engine);
-    }
-
     private final class Observer implements AttemptObserver {
         private final Attempt attempt;
 
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -22,9 +22,11 @@
     final Set<Long> confirmedHolders = new LinkedHashSet<>();
     /** Readers whose answer broke off or was malformed: they may still be reading, and were not told to stop. */
     final Set<Long> brokenReaders = new HashSet<>();
-    /** Since when a state is held with nothing sent in flight for it. */
+    /** The last time at which an engine proved that a confirmed state was held: from then on its limit runs. */
     double heldSinceMs;
-    /** A state was released because it had been held for too long. */
+    /** The limit has passed since, and a release was begun. */
+    boolean reservationOverdue;
+    /** The same with no attempt in flight that could have taken the state: it is gone. */
     boolean reservationExpired;
 
     boolean admitted;
--- /dev/null
+++ b/src/main/java/maplerail/core/ReservationGuard.java
@@ -0,0 +1,144 @@
+package maplerail.core;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import maplerail.routing.AttemptOutcome;
+
+/**
+ * Keeps the limit on reserved states: what an engine holds for a request is released in time, whatever becomes of the attempts
+ * that were to take it.
+ *
+ * <p>That an attempt was written to a connection proves nothing, as the connection may have fallen silent; only an engine's
+ * answer proves that something arrived. So the limit runs from the last proof (a read that was answered, or a later attempt
+ * that was answered and ended), each event that may leave a state behind sets a check of its own, and a check always releases
+ * what is due. Engines pass over a release of what a running engine's attempt waits for, so an attempt in flight that did
+ * arrive loses nothing by it.
+ */
+final class ReservationGuard {
+    /** Sockets allow 300 ms beyond the settings' limit; the rest is left to the release, which may have to be repeated. */
+    private static final double SLACK_MS = 50;
+
+    /** Timers fire on whole milliseconds. */
+    private static final double TIMER_TOLERANCE_MS = 1;
+
+    /** For how long a read may be in flight before it may have ended unheard, and between two releases for that. */
+    private static final double UNHEARD_READ_MS = 650;
+
+    private static final double UNHEARD_READ_INTERVAL_MS = 500;
+
+    /** For how long after its end an unanswered read may still leave a state, if its reader did not hear of the end. */
+    private static final double LATE_READ_MS = 2_500;
+
+    private final EventLoop loop;
+    private final StateReleaser releaser;
+    private final RequestEventLog events;
+    private final Consumer<Attempt> endUnsentWrite;
+
+    /** Creates a guard; {@code endUnsentWrite} ends a write of which nothing was sent, as its state is released. */
+    ReservationGuard(EventLoop loop, StateReleaser releaser, RequestEventLog events, Consumer<Attempt> endUnsentWrite) {
+        this.loop = loop;
+        this.releaser = releaser;
+        this.events = events;
+        this.endUnsentWrite = endUnsentWrite;
+    }
+
+    /**
+     * Watches a read that was handed to its connection: where its answer is lost in silence, its reader holds a state that
+     * nobody here knows of. A release in the middle of a read does nothing, so it is made now and then while one takes long.
+     */
+    void onReadStarted(Attempt attempt) {
+        loop.at(attempt.sentMs + UNHEARD_READ_MS, () -> checkRead(attempt));
+    }
+
+    private void checkRead(Attempt attempt) {
+        if (attempt.ended) return;
+        attempt.handle.poll();
+        if (attempt.ended) return;
+        if (!attempt.isUnsent()) releaser.releaseInUse(attempt.record, attempt.engine);
+        loop.at(loop.nowMs() + UNHEARD_READ_INTERVAL_MS, () -> checkRead(attempt));
+    }
+
+    /** Notes where a state may be held after the end of an attempt, and until when. */
+    void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
+        RequestRecord record = attempt.record;
+        boolean read = outcome == AttemptOutcome.PROMPT_READ;
+        // A read that was cancelled may have been completed just then.
+        boolean mayBeRead = attempt.readsPrompt && !outcome.provesNoEffect();
+        if (read) record.confirmedHolders.add(attempt.engine);
+        if (read || mayBeRead) record.possibleHolders.put(attempt.engine, loop.nowMs());
+        boolean broken = outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.ERROR;
+        if (attempt.readsPrompt && broken) record.brokenReaders.add(attempt.engine);
+        if (isAnswer(outcome) && !record.confirmedHolders.isEmpty()) restartLimit(record);
+        checkLater(record);
+    }
+
+    /** True if the outcome is an engine's own word, which proves that the attempt had arrived there. */
+    private static boolean isAnswer(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case COMPLETED, PROMPT_READ, OVERLOADED, STATE_LOST, ERROR -> true;
+            case RESET, UNREACHABLE, TIMEOUT, CANCELLED, NOT_SENT -> false;
+        };
+    }
+
+    private void restartLimit(RequestRecord record) {
+        record.heldSinceMs = loop.nowMs();
+        record.reservationOverdue = false;
+        record.reservationExpired = false;
+    }
+
+    private void checkLater(RequestRecord record) {
+        if (record.possibleHolders.isEmpty()) return;
+        loop.at(loop.nowMs() + limitMs(record), () -> check(record));
+    }
+
+    private static double limitMs(RequestRecord record) {
+        return record.terms.reservationLimitMs() + SLACK_MS;
+    }
+
+    private void check(RequestRecord record) {
+        List<Long> due = record.possibleHolders.entrySet().stream()
+                .filter(holder -> isDue(record, holder))
+                .map(Map.Entry::getKey)
+                .toList();
+        if (due.isEmpty()) return;
+        boolean confirmedDue = due.stream().anyMatch(record.confirmedHolders::contains);
+        if (confirmedDue && !record.reservationOverdue) {
+            record.reservationOverdue = true;
+            events.reservationOverdue(record);
+        }
+        if (mayBeTaken(record)) {
+            due.forEach(engine -> releaser.releaseInUse(record, engine));
+            if (due.stream().anyMatch(engine -> isReadLate(record, engine))) checkLater(record);
+        } else {
+            expire(record, due, confirmedDue);
+        }
+    }
+
+    private boolean isDue(RequestRecord record, Map.Entry<Long, Double> holder) {
+        boolean confirmed = record.confirmedHolders.contains(holder.getKey());
+        double sinceMs = confirmed ? record.heldSinceMs : holder.getValue();
+        return loop.nowMs() >= sinceMs + limitMs(record) - TIMER_TOLERANCE_MS;
+    }
+
+    /** True while an attempt is in flight that may have arrived, so that its engine may have taken the state. */
+    private static boolean mayBeTaken(RequestRecord record) {
+        return record.attempts.stream().anyMatch(a -> a.isInFlight() && !a.isUnsent());
+    }
+
+    /** True for a reader that has confirmed nothing, and may not have heard that its attempt ended. */
+    private boolean isReadLate(RequestRecord record, long engine) {
+        return !record.confirmedHolders.contains(engine)
+                && loop.nowMs() - record.possibleHolders.get(engine) < LATE_READ_MS;
+    }
+
+    /** Nothing can have taken the state: the writes that wait for a connection would come too late for it. */
+    private void expire(RequestRecord record, List<Long> due, boolean confirmedDue) {
+        due.forEach(engine -> releaser.release(record, engine));
+        if (!confirmedDue) return;
+        record.reservationExpired = true;
+        for (Attempt attempt : List.copyOf(record.attempts)) {
+            if (attempt.isUnsent() && !attempt.readsPrompt) endUnsentWrite.accept(attempt);
+        }
+    }
+}
--- a/src/main/java/maplerail/core/StateReleaser.java
+++ b/src/main/java/maplerail/core/StateReleaser.java
@@ -10,6 +10,7 @@
      */
     private static final double[] REPEAT_AFTER_MS = {120, 400, 750, 1_100, 1_600};
 
+    private static final double RELEASE_TRIED_MS = 1_500; // for which one that no engine answers is repeated, at least
     private static final double JUST_CANCELLED_MS = 150;
     private static final double STILL_READING_MS = 2_000; // after a read ended without a word from its reader
 
@@ -38,12 +39,16 @@
         for (long engine : List.copyOf(record.possibleHolders.keySet())) release(record, engine);
     }
 
-    /** Releases the states that are known to be held, even if an attempt still waits for its connection. */
-    void releaseConfirmed(RequestRecord record) {
-        for (long engine : List.copyOf(record.confirmedHolders)) release(record, engine);
+    /**
+     * Releases what an engine may hold though an attempt in flight may have taken it: engines pass over what is waited for.
+     * The engine counts as a holder all the same, until the attempt has ended.
+     */
+    void releaseInUse(RequestRecord record, long engine) {
+        send(record, engine);
     }
 
-    private void release(RequestRecord record, long engine) {
+    /** Releases what an engine may hold, even if an attempt still waits for its connection. */
+    void release(RequestRecord record, long engine) {
         double readEndedMs = record.possibleHolders.remove(engine);
         record.confirmedHolders.remove(engine);
         send(record, engine);
@@ -75,12 +80,12 @@
     }
 
     private void send(RequestRecord record, long engine) {
-        double untilMs = loop.nowMs() + record.terms.reservationLimitMs();
+        double untilMs = loop.nowMs() + Math.max(RELEASE_TRIED_MS, record.terms.reservationLimitMs());
         transport.release(
                 engine,
                 directory.readyEngines(),
                 record.request.id(),
                 untilMs,
-                () -> record.answered || record.confirmedHolders.isEmpty());
+                () -> record.answered || record.reservationOverdue || record.confirmedHolders.isEmpty());
     }
 }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -4,49 +4,42 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
 import maplerail.config.Tree;
 import maplerail.core.AttemptHandle;
 import maplerail.core.AttemptObserver;
 import maplerail.core.EngineTransport;
-import maplerail.core.EventLoop;
 import maplerail.core.InferenceRequest;
+import maplerail.metrics.Metrics;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.StreamConnection;
 
 /** Attempts and releases on the platform's wire. */
 public final class EngineClient implements EngineTransport {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
-    private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
-    private static final double AGAIN_MS = 60; // between two tries at a release
-    private static final double SILENT_MS = 150; // after which a release that was not answered is tried again
-    private static final double ELSEWHERE_MS = 100; // after which it is said to another engine too, and to the next
     private static final int MOST_LEFT = 2_048; // engines that left, the last of which are remembered
     private static final int MOST_OTHERS = 4; // told of a release that its engine can't be told of
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
     private final Pool pool;
+    private final Metrics metrics;
     private final XnioLoop loop;
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Map<Long, InetSocketAddress> left = new LinkedHashMap<>();
@@ -55,7 +48,13 @@
 
     /** Makes a client that opens its connections from a pool. */
     public EngineClient(Pool pool) {
+        this(pool, new Metrics());
+    }
+
+    /** The same with its releases counted. */
+    public EngineClient(Pool pool, Metrics metrics) {
         this.pool = pool;
+        this.metrics = metrics;
         this.loop = pool.loop();
     }
 
@@ -200,136 +199,32 @@
     }
 
     @Override
-    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier elsewhere) {
-        InetSocketAddress to = address(engine);
-        if (to == null) return;
-        new Release(to, others, id, untilMs, elsewhere).start();
-    }
-
-    /** Releases that nobody has taken yet and that still may be. */
-    public int releasing() {
-        return releasing;
+    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier mayAskOthers) {
+        InetSocketAddress holder = address(engine);
+        if (holder == null) return;
+        releasing++;
+        List<InetSocketAddress> instead = lastToAnswer(others, holder, id);
+        new StateRelease(pool, metrics, holder, instead, id, untilMs, mayAskOthers, () -> releasing--).start();
     }
 
-    /**
-     * A release goes on until it is answered or too late: the time runs while connections fail to come up. Guards
-     * against a reader that has left with a state that is still accounted for, or that hangs: what is not heard there
-     * soon is said to other engines too, one after the other, as any of them may hang as well. First come those that
-     * answered here last.
-     */
-    private final class Release {
-        private final InetSocketAddress to;
-        private final Set<Long> known;
-        private final String id;
-        private final double untilMs;
-        private final BooleanSupplier mayElsewhere;
-        private ArrayDeque<InetSocketAddress> others;
-        private Call latest; // at its own engine
-        private boolean heard;
-        private boolean over;
-
-        Release(InetSocketAddress to, Set<Long> known, String id, double untilMs, BooleanSupplier elsewhere) {
-            this.to = to;
-            this.known = Set.copyOf(known);
-            this.id = id;
-            this.untilMs = untilMs;
-            mayElsewhere = elsewhere;
-        }
-
-        void start() {
-            releasing++;
-            loop.at(untilMs, this::over);
-            say(to, true);
-            loop.at(loop.nowMs() + ELSEWHERE_MS, this::elsewhere);
-        }
-
-        private void over() {
-            if (over) return;
-            over = true;
-            releasing--;
-            if (!heard) LOG.debug("{}: the release for {} was heard by nobody", to, id);
-        }
-
-        private void say(InetSocketAddress engine, boolean own) {
-            if (over || loop.nowMs() >= untilMs) return;
-            Word word = new Word(engine, own);
-            word.call = pool.start(
-                    engine, Requests.to(engine, Methods.DELETE, "/internal/reservations/" + id), new byte[0], word);
-            if (own) latest = word.call;
-            word.silence = loop.at(loop.nowMs() + SILENT_MS, word::silent);
-        }
-
-        private void elsewhere() {
-            // Guards against a loop that is behind: what it has not read yet is no silence, and more calls no help.
-            latest.poll();
-            if (heard || over || !mayElsewhere.getAsBoolean()) return;
-            if (others == null) others = order();
-            InetSocketAddress other = others.poll();
-            if (other == null) return;
-            say(other, false);
-            loop.at(loop.nowMs() + ELSEWHERE_MS, this::elsewhere);
-        }
-
-        private ArrayDeque<InetSocketAddress> order() {
-            Map<InetSocketAddress, Double> quiet = new HashMap<>();
-            for (long engine : known) {
-                InetSocketAddress address = address(engine);
-                if (address != null && !address.equals(to))
-                    quiet.put(address, loop.nowMs() - pool.idleSinceMs(address));
+    /** The engines that may be asked instead of one: those first that answered here last, equals in an order of the id's. */
+    private List<InetSocketAddress> lastToAnswer(Set<Long> among, InetSocketAddress but, String id) {
+        Map<InetSocketAddress, Double> quietMs = new HashMap<>();
+        for (long engine : among) {
+            InetSocketAddress address = address(engine);
+            if (address != null && !address.equals(but)) {
+                quietMs.put(address, loop.nowMs() - pool.idleSinceMs(address));
             }
-            return quiet.keySet().stream()
-                    .sorted(Comparator.<InetSocketAddress>comparingDouble(quiet::get)
-                            .thenComparingLong(address -> (address.hashCode() ^ id.hashCode()) * SPREAD))
-                    .limit(MOST_OTHERS)
-                    .collect(Collectors.toCollection(ArrayDeque::new));
         }
+        return quietMs.keySet().stream()
+                .sorted(Comparator.<InetSocketAddress>comparingDouble(quietMs::get)
+                        .thenComparingLong(address -> (address.hashCode() ^ id.hashCode()) * SPREAD))
+                .limit(MOST_OTHERS)
+                .toList();
+    }
 
-        /** One call of the release at one engine. */
-        private final class Word implements Reply {
-            private final InetSocketAddress engine;
-            private final boolean own;
-            private Call call;
-            private EventLoop.Timer silence;
-            private boolean answered;
-
-            Word(InetSocketAddress engine, boolean own) {
-                this.engine = engine;
-                this.own = own;
-            }
-
-            private void silent() {
-                // One that still waits for a connection keeps its place; the pool says so when it has none in time.
-                if (call.unsent()) {
-                    silence = loop.at(loop.nowMs() + SILENT_MS, this::silent);
-                    return;
-                }
-                call.poll();
-                if (answered) return;
-                LOG.debug("{}: no answer to the release for {}", engine, id);
-                call.abort();
-                if (own) say(to, true);
-            }
-
-            @Override
-            public void head(int status, HeaderMap headers) {
-                silence.cancel();
-                answered = true;
-                heard = true;
-                if (own) over();
-            }
-
-            @Override
-            public void body(ByteBuffer piece) {}
-
-            @Override
-            public void end() {}
-
-            @Override
-            public void failed(boolean neverSent) {
-                silence.cancel();
-                LOG.debug("{}: the release for {} failed", engine, id);
-                if (own && !over) loop.at(loop.nowMs() + AGAIN_MS, () -> say(to, true));
-            }
-        }
+    /** Releases that nobody has taken yet and that still may be. */
+    public int releasing() {
+        return releasing;
     }
 }
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -75,21 +75,37 @@
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
         Call call = new Call(this, request, body, reply);
-        if (!begin(to, call)) {
-            ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
-            // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
-            if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
-            else waiting.addLast(call);
-            call.connecting(limit(call, () -> {}), () -> {});
-        }
+        if (!begin(to, call)) waitForConnection(to, request, call);
+        return call;
+    }
+
+    /** The same on a connection of its own, for a request whose first try on an idle one was not answered. */
+    Call startOnNewConnection(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
+        Call call = new Call(this, request, body, reply);
+        if (mayConnect(to)) connect(to, call);
+        else waitForConnection(to, request, call);
         return call;
     }
 
+    /** Closes the connections there on which nothing is asked: they may have fallen silent with no error. */
+    void closeIdle(InetSocketAddress to) {
+        ArrayDeque<Link> kept = idle.remove(to);
+        if (kept != null) kept.forEach(Link::close);
+    }
+
+    private void waitForConnection(InetSocketAddress to, ClientRequest request, Call call) {
+        ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
+        // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
+        if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
+        else waiting.addLast(call);
+        call.connecting(limit(call, () -> {}), () -> {});
+    }
+
     private boolean begin(InetSocketAddress to, Call call) {
         Link ready = fresh(to);
         if (ready != null) {
             call.on(ready);
-        } else if (connecting.getOrDefault(to, 0) >= MAX_CONNECTING || !room()) {
+        } else if (!mayConnect(to)) {
             return false;
         } else {
             connect(to, call);
@@ -97,6 +113,10 @@
         return true;
     }
 
+    private boolean mayConnect(InetSocketAddress to) {
+        return connecting.getOrDefault(to, 0) < MAX_CONNECTING && room();
+    }
+
     /**
      * Guards against a crowd that comes at once, as after a restart: told at once that it cannot connect, each of
      * its requests would use up its attempts on engines that only wait for their connections to come up.
--- /dev/null
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -0,0 +1,173 @@
+package maplerail.net;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Methods;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import maplerail.core.EventLoop;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One release of what engines hold for a request. It is repeated until its own engine has answered or its time is over: that
+ * a call was written proves nothing, as its connection may have fallen silent. What its engine does not answer at once is
+ * asked on a new connection, and of other engines too, one after the other, as any engine can release a state.
+ */
+final class StateRelease {
+    private static final Logger LOG = LoggerFactory.getLogger(StateRelease.class);
+    private static final double RETRY_MS = 60; // after a call that failed
+    private static final double SILENT_MS = 150; // after which a call without an answer is given up and made again
+    private static final double UNANSWERED_MS = 70; // after which others are asked too, one after the other
+
+    private final Pool pool;
+    private final EventLoop loop;
+    private final Metrics metrics;
+    private final InetSocketAddress holder;
+    private final ArrayDeque<InetSocketAddress> others;
+    private final String requestId;
+    private final double untilMs;
+    private final BooleanSupplier mayAskOthers;
+    private final Runnable onEnded;
+    private final Set<ReleaseCall> open = new HashSet<>();
+    private boolean askedAnew;
+    private boolean answered;
+    private boolean ended;
+
+    /**
+     * Creates a release; nothing is sent before {@link #start}.
+     *
+     * @param holder the engine that may hold the state
+     * @param others the engines that may be asked as well, in the order in which they are
+     * @param untilMs the time until which it is repeated
+     * @param mayAskOthers whether others may be asked now
+     * @param onEnded is run once, when it has been answered or its time is over
+     */
+    StateRelease(
+            Pool pool,
+            Metrics metrics,
+            InetSocketAddress holder,
+            List<InetSocketAddress> others,
+            String requestId,
+            double untilMs,
+            BooleanSupplier mayAskOthers,
+            Runnable onEnded) {
+        this.pool = pool;
+        this.loop = pool.loop();
+        this.metrics = metrics;
+        this.holder = holder;
+        this.others = new ArrayDeque<>(others);
+        this.requestId = requestId;
+        this.untilMs = untilMs;
+        this.mayAskOthers = mayAskOthers;
+        this.onEnded = onEnded;
+    }
+
+    void start() {
+        metrics.count(EventCount.RELEASES);
+        loop.at(untilMs, this::end);
+        call(holder, false);
+        loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
+    }
+
+    private void end() {
+        if (ended) return;
+        ended = true;
+        onEnded.run();
+        if (answered) return;
+        metrics.count(EventCount.RELEASES_UNANSWERED);
+        LOG.info("release unanswered request={} holder={}", requestId, holder);
+    }
+
+    private void call(InetSocketAddress engine, boolean newConnection) {
+        if (ended || loop.nowMs() >= untilMs) return;
+        metrics.count(EventCount.RELEASE_CALLS);
+        ReleaseCall made = new ReleaseCall(engine);
+        open.add(made);
+        made.start(newConnection);
+    }
+
+    /** Asks on a new connection, and another engine, for as long as nobody has answered. */
+    private void askAnew() {
+        // What a loop that is behind has not read yet is no silence.
+        List.copyOf(open).forEach(ReleaseCall::poll);
+        if (answered || ended) return;
+        if (!askedAnew) call(holder, true);
+        askedAnew = true;
+        if (mayAskOthers.getAsBoolean() && !others.isEmpty()) call(others.poll(), true);
+        if (!others.isEmpty()) loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
+    }
+
+    /** One call at one engine. */
+    private final class ReleaseCall implements Reply {
+        private final InetSocketAddress engine;
+        private Call call;
+        private EventLoop.Timer silence;
+        private boolean over;
+
+        ReleaseCall(InetSocketAddress engine) {
+            this.engine = engine;
+        }
+
+        void start(boolean newConnection) {
+            var request = Requests.to(engine, Methods.DELETE, "/internal/reservations/" + requestId);
+            call = newConnection
+                    ? pool.startOnNewConnection(engine, request, new byte[0], this)
+                    : pool.start(engine, request, new byte[0], this);
+            silence = loop.at(loop.nowMs() + SILENT_MS, this::onSilence);
+        }
+
+        void poll() {
+            if (!over) call.poll();
+        }
+
+        private void onSilence() {
+            if (over) return;
+            // One that still waits for a connection keeps its place; the pool says so when it has none in time.
+            if (call.unsent()) {
+                silence = loop.at(loop.nowMs() + SILENT_MS, this::onSilence);
+                return;
+            }
+            call.poll();
+            if (over) return;
+            LOG.debug("release not answered request={} engine={}", requestId, engine);
+            finish();
+            call.abort();
+            // What else is open there may have fallen silent in the same moment.
+            pool.closeIdle(engine);
+            if (engine.equals(holder)) call(holder, true);
+        }
+
+        private void finish() {
+            over = true;
+            open.remove(this);
+            if (silence != null) silence.cancel();
+        }
+
+        @Override
+        public void head(int status, HeaderMap headers) {
+            finish();
+            answered = true;
+            if (engine.equals(holder)) end();
+        }
+
+        @Override
+        public void body(ByteBuffer piece) {}
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void failed(boolean neverSent) {
+            finish();
+            LOG.debug("release failed request={} engine={} never_sent={}", requestId, engine, neverSent);
+            if (engine.equals(holder)) loop.at(loop.nowMs() + RETRY_MS, () -> call(holder, true));
+        }
+    }
+}
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -104,7 +104,7 @@
         descriptors = new DescriptorBudget(wire.sockets(), toolsConfig != null, config.admin() != null);
         enginePool = createPool(wire, descriptors.engines());
         discoveryPool = createPool(wire, descriptors.discovery()).unsettled();
-        engines = new EngineClient(enginePool);
+        engines = new EngineClient(enginePool, metrics);
         RoutingSettings settings = config.settings();
         SplittableRandom advice = new SplittableRandom(settings.seed() ^ ADVICE_SEED);
         admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(wire.maxOpen()), loop, advice);
