Releases wait while a read is on its way; overdue attempts are looked at again

The same class in the policy: an overdue attempt met while its whole role was behind was never looked at again, so one on a silent connection lasted to its deadline. Change: core.ReleaseGate is asked before each call, and a release that has to wait goes on; a state that a writer says is lost is not held any more; engines that left an attempt of the request unanswered are asked last; two others at a time.

--- a/src/main/java/maplerail/core/Attempt.java
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -15,6 +15,8 @@
     double lastEventMs;
     boolean paused;
     boolean ended;
+    /** Its engine has said something of it, which proves that it arrived. */
+    boolean answered;
     /** It ended, and may have been executed. */
     boolean maybeExecuted;
 
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -77,7 +77,6 @@
         } else {
             attempt.timeout = loop.at(deadlineMs, () -> onDeadline(attempt));
             attempt.handle = transport.send(order.engine(), record.request, deadlineMs, new Observer(attempt));
-            if (readsPrompt) reservations.onReadStarted(attempt);
         }
     }
 
@@ -143,6 +142,7 @@
     private void onEvent(Attempt attempt, byte[] event) {
         RequestRecord record = attempt.record;
         attempt.lastEventMs = loop.nowMs();
+        attempt.answered = true;
         if (record.winner == null && !record.answered) beginStream(attempt);
         if (record.winner == attempt) relay.onEvent(attempt, event);
         else abort(attempt, AttemptOutcome.CANCELLED);
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -1,7 +1,6 @@
 package maplerail.core;
 
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 
 /** The port through which attempts are sent to engines. It never repeats an attempt by itself. */
 public interface EngineTransport {
@@ -22,7 +21,7 @@
      * @param others the engines that may be asked instead
      * @param requestId the client's id of the request
      * @param untilMs the time until which the call is retried
-     * @param mayAskOthers whether others may still be asked: they would release what was reserved since, too
+     * @param gate is asked before each call but the first
      */
-    void release(long engine, Set<Long> others, String requestId, double untilMs, BooleanSupplier mayAskOthers);
+    void release(long engine, Set<Long> others, String requestId, double untilMs, ReleaseGate gate);
 }
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -54,6 +54,11 @@
         return attempts.stream().anyMatch(a -> a.isInFlight() && a.engine == engine);
     }
 
+    /** True while a read is in flight that may have arrived. */
+    boolean isReading() {
+        return attempts.stream().anyMatch(a -> a.readsPrompt && a.isInFlight() && !a.isUnsent());
+    }
+
     /** True once the answer streams and has not ended. */
     boolean isStreaming() {
         return winner != null && !answered;
--- a/src/main/java/maplerail/core/ReservationGuard.java
+++ b/src/main/java/maplerail/core/ReservationGuard.java
@@ -17,15 +17,13 @@
  */
 final class ReservationGuard {
     /** Sockets allow 300 ms beyond the settings' limit; the rest is left to the release, which may have to be repeated. */
-    private static final double SLACK_MS = 50;
+    private static final double SLACK_MS = 30;
 
     /** Timers fire on whole milliseconds. */
     private static final double TIMER_TOLERANCE_MS = 1;
 
-    /** For how long a read may be in flight before it may have ended unheard, and between two releases for that. */
-    private static final double UNHEARD_READ_MS = 650;
-
-    private static final double UNHEARD_READ_INTERVAL_MS = 500;
+    /** Between two looks at whether a read that is on its way has ended. */
+    private static final double READING_MS = 25;
 
     /** For how long after its end an unanswered read may still leave a state, if its reader did not hear of the end. */
     private static final double LATE_READ_MS = 2_500;
@@ -43,22 +41,6 @@
         this.endUnsentWrite = endUnsentWrite;
     }
 
-    /**
-     * Watches a read that was handed to its connection: where its answer is lost in silence, its reader holds a state that
-     * nobody here knows of. A release in the middle of a read does nothing, so it is made now and then while one takes long.
-     */
-    void onReadStarted(Attempt attempt) {
-        loop.at(attempt.sentMs + UNHEARD_READ_MS, () -> checkRead(attempt));
-    }
-
-    private void checkRead(Attempt attempt) {
-        if (attempt.ended) return;
-        attempt.handle.poll();
-        if (attempt.ended) return;
-        if (!attempt.isUnsent()) releaser.releaseInUse(attempt.record, attempt.engine);
-        loop.at(loop.nowMs() + UNHEARD_READ_INTERVAL_MS, () -> checkRead(attempt));
-    }
-
     /** Notes where a state may be held after the end of an attempt, and until when. */
     void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
         RequestRecord record = attempt.record;
@@ -69,6 +51,9 @@
         if (read || mayBeRead) record.possibleHolders.put(attempt.engine, loop.nowMs());
         boolean broken = outcome == AttemptOutcome.RESET || outcome == AttemptOutcome.ERROR;
         if (attempt.readsPrompt && broken) record.brokenReaders.add(attempt.engine);
+        // A writer has said so: what was read for it is not held any more.
+        if (outcome == AttemptOutcome.STATE_LOST) record.confirmedHolders.clear();
+        attempt.answered |= isAnswer(outcome);
         if (isAnswer(outcome) && !record.confirmedHolders.isEmpty()) restartLimit(record);
         checkLater(record);
     }
@@ -102,6 +87,11 @@
                 .map(Map.Entry::getKey)
                 .toList();
         if (due.isEmpty()) return;
+        if (record.isReading()) {
+            // A release would undo the read, wherever it is; once that has ended, what is due is released.
+            loop.at(loop.nowMs() + READING_MS, () -> check(record));
+            return;
+        }
         boolean confirmedDue = due.stream().anyMatch(record.confirmedHolders::contains);
         if (confirmedDue && !record.reservationOverdue) {
             record.reservationOverdue = true;
--- a/src/main/java/maplerail/core/StateReleaser.java
+++ b/src/main/java/maplerail/core/StateReleaser.java
@@ -1,6 +1,8 @@
 package maplerail.core;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** Releases the states that engines hold for a request once no attempt waits for them any more. */
 final class StateReleaser {
@@ -10,6 +12,7 @@
      */
     private static final double[] REPEAT_AFTER_MS = {120, 400, 750, 1_100, 1_600};
 
+    private static final double READING_MS = 25; // between two looks at whether a read that is on its way has ended
     private static final double RELEASE_TRIED_MS = 1_500; // for which one that no engine answers is repeated, at least
     private static final double JUST_CANCELLED_MS = 150;
     private static final double STILL_READING_MS = 2_000; // after a read ended without a word from its reader
@@ -68,11 +71,14 @@
     private void repeat(RequestRecord record, long engine) {
         pendingRepeats++;
         loop.at(loop.nowMs() + REPEAT_AFTER_MS[REPEAT_AFTER_MS.length - 1], () -> pendingRepeats--);
-        for (double afterMs : REPEAT_AFTER_MS) {
-            loop.at(loop.nowMs() + afterMs, () -> {
-                if (record.answered || !isUsedAgain(record, engine)) send(record, engine);
-            });
-        }
+        for (double afterMs : REPEAT_AFTER_MS) repeatAt(loop.nowMs() + afterMs, record, engine);
+    }
+
+    private void repeatAt(double whenMs, RequestRecord record, long engine) {
+        loop.at(whenMs, () -> {
+            if (!record.answered && record.isReading()) repeatAt(loop.nowMs() + READING_MS, record, engine);
+            else if (record.answered || !isUsedAgain(record, engine)) send(record, engine);
+        });
     }
 
     private static boolean isUsedAgain(RequestRecord record, long engine) {
@@ -81,11 +87,27 @@
 
     private void send(RequestRecord record, long engine) {
         double untilMs = loop.nowMs() + Math.max(RELEASE_TRIED_MS, record.terms.reservationLimitMs());
-        transport.release(
-                engine,
-                directory.readyEngines(),
-                record.request.id(),
-                untilMs,
-                () -> record.answered || record.reservationOverdue || record.confirmedHolders.isEmpty());
+        transport.release(engine, likelyToAnswer(record), record.request.id(), untilMs, new Gate(record));
+    }
+
+    /** The ready engines but for those that have left an attempt of the request unanswered. */
+    private Set<Long> likelyToAnswer(RequestRecord record) {
+        Set<Long> engines = new HashSet<>(directory.readyEngines());
+        record.attempts.stream()
+                .filter(attempt -> !attempt.answered)
+                .forEach(attempt -> engines.remove(attempt.engine));
+        return engines.isEmpty() ? directory.readyEngines() : engines;
+    }
+
+    private record Gate(RequestRecord record) implements ReleaseGate {
+        @Override
+        public boolean isOpen() {
+            return record.answered || !record.isReading();
+        }
+
+        @Override
+        public boolean mayAskOthers() {
+            return record.answered || record.reservationOverdue || record.confirmedHolders.isEmpty();
+        }
     }
 }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -15,7 +15,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
@@ -24,6 +23,7 @@
 import maplerail.core.AttemptObserver;
 import maplerail.core.EngineTransport;
 import maplerail.core.InferenceRequest;
+import maplerail.core.ReleaseGate;
 import maplerail.metrics.Metrics;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
@@ -34,7 +34,7 @@
 public final class EngineClient implements EngineTransport {
     private static final HttpString DEADLINE = new HttpString("Req-Deadline");
     private static final int MOST_LEFT = 2_048; // engines that left, the last of which are remembered
-    private static final int MOST_OTHERS = 4; // told of a release that its engine can't be told of
+    private static final int MOST_OTHERS = 6; // told of a release that its engine can't be told of
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
@@ -199,12 +199,12 @@
     }
 
     @Override
-    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier mayAskOthers) {
+    public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {
         InetSocketAddress holder = address(engine);
         if (holder == null) return;
         releasing++;
         List<InetSocketAddress> instead = lastToAnswer(others, holder, id);
-        new StateRelease(pool, metrics, holder, instead, id, untilMs, mayAskOthers, () -> releasing--).start();
+        new StateRelease(pool, metrics, holder, instead, id, untilMs, gate, () -> releasing--).start();
     }
 
     /** The engines that may be asked instead of one: those first that answered here last, equals in an order of the id's. */
--- a/src/main/java/maplerail/net/StateRelease.java
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -8,8 +8,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import maplerail.core.EventLoop;
+import maplerail.core.ReleaseGate;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
@@ -18,13 +18,14 @@
 /**
  * One release of what engines hold for a request. It is repeated until its own engine has answered or its time is over: that
  * a call was written proves nothing, as its connection may have fallen silent. What its engine does not answer at once is
- * asked on a new connection, and of other engines too, one after the other, as any engine can release a state.
+ * asked on a new connection, and of other engines too, two at a time, as any engine can release a state.
  */
 final class StateRelease {
     private static final Logger LOG = LoggerFactory.getLogger(StateRelease.class);
     private static final double RETRY_MS = 60; // after a call that failed
     private static final double SILENT_MS = 150; // after which a call without an answer is given up and made again
-    private static final double UNANSWERED_MS = 70; // after which others are asked too, one after the other
+    private static final double UNANSWERED_MS = 60; // after which others are asked too, a few at a time
+    private static final int OTHERS_AT_ONCE = 2;
 
     private final Pool pool;
     private final EventLoop loop;
@@ -33,7 +34,7 @@
     private final ArrayDeque<InetSocketAddress> others;
     private final String requestId;
     private final double untilMs;
-    private final BooleanSupplier mayAskOthers;
+    private final ReleaseGate gate;
     private final Runnable onEnded;
     private final Set<ReleaseCall> open = new HashSet<>();
     private boolean askedAnew;
@@ -46,7 +47,7 @@
      * @param holder the engine that may hold the state
      * @param others the engines that may be asked as well, in the order in which they are
      * @param untilMs the time until which it is repeated
-     * @param mayAskOthers whether others may be asked now
+     * @param gate says whether it may be sent again, and to others; it goes on once it may
      * @param onEnded is run once, when it has been answered or its time is over
      */
     StateRelease(
@@ -56,7 +57,7 @@
             List<InetSocketAddress> others,
             String requestId,
             double untilMs,
-            BooleanSupplier mayAskOthers,
+            ReleaseGate gate,
             Runnable onEnded) {
         this.pool = pool;
         this.loop = pool.loop();
@@ -65,7 +66,7 @@
         this.others = new ArrayDeque<>(others);
         this.requestId = requestId;
         this.untilMs = untilMs;
-        this.mayAskOthers = mayAskOthers;
+        this.gate = gate;
         this.onEnded = onEnded;
     }
 
@@ -78,6 +79,10 @@
 
     private void end() {
         if (ended) return;
+        if (!answered && !gate.isOpen()) {
+            loop.at(loop.nowMs() + SILENT_MS, this::end);
+            return;
+        }
         ended = true;
         onEnded.run();
         if (answered) return;
@@ -85,8 +90,14 @@
         LOG.info("release unanswered request={} holder={}", requestId, holder);
     }
 
+    /** Asks its own engine again, once that harms nothing. */
+    private void askAgain() {
+        if (gate.isOpen()) call(holder, true);
+        else if (!ended) loop.at(loop.nowMs() + RETRY_MS, this::askAgain);
+    }
+
     private void call(InetSocketAddress engine, boolean newConnection) {
-        if (ended || loop.nowMs() >= untilMs) return;
+        if (ended) return;
         metrics.count(EventCount.RELEASE_CALLS);
         ReleaseCall made = new ReleaseCall(engine);
         open.add(made);
@@ -98,9 +109,12 @@
         // What a loop that is behind has not read yet is no silence.
         List.copyOf(open).forEach(ReleaseCall::poll);
         if (answered || ended) return;
-        if (!askedAnew) call(holder, true);
-        askedAnew = true;
-        if (mayAskOthers.getAsBoolean() && !others.isEmpty()) call(others.poll(), true);
+        if (gate.isOpen()) {
+            if (!askedAnew) call(holder, true);
+            askedAnew = true;
+            for (int i = 0; i < OTHERS_AT_ONCE && gate.mayAskOthers() && !others.isEmpty(); i++)
+                call(others.poll(), true);
+        }
         if (!others.isEmpty()) loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
     }
 
@@ -141,7 +155,7 @@
             call.abort();
             // What else is open there may have fallen silent in the same moment.
             pool.closeIdle(engine);
-            if (engine.equals(holder)) call(holder, true);
+            if (engine.equals(holder)) askAgain();
         }
 
         private void finish() {
@@ -167,7 +181,7 @@
         public void failed(boolean neverSent) {
             finish();
             LOG.debug("release failed request={} engine={} never_sent={}", requestId, engine, neverSent);
-            if (engine.equals(holder)) loop.at(loop.nowMs() + RETRY_MS, () -> call(holder, true));
+            if (engine.equals(holder)) loop.at(loop.nowMs() + RETRY_MS, StateRelease.this::askAgain);
         }
     }
 }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -13,12 +13,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import maplerail.config.Json;
 import maplerail.core.AttemptHandle;
 import maplerail.core.AttemptObserver;
 import maplerail.core.EngineTransport;
 import maplerail.core.InferenceRequest;
+import maplerail.core.ReleaseGate;
 import maplerail.routing.AttemptOutcome;
 
 /** Attempts at tool servers: one HTTP POST each, whose reply counts when it is whole. */
@@ -153,5 +153,5 @@
 
     /** Tool servers hold nothing for a request that has ended. */
     @Override
-    public void release(long engine, Set<Long> others, String id, double untilMs, BooleanSupplier elsewhere) {}
+    public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {}
 }
--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -847,11 +847,11 @@
         if (request.attempts.size() >= request.limits.maxAttempts() - 1) return;
         // Retries are rationed against storms, but an answer that is lost comes from no lack of capacity.
         boolean lost = attempt.isOvertaken();
-        if (retryBudget < 1 && !lost) {
-            checkOverdueAt(attempt, nowMs + patienceMs(attempt));
+        if (!lost && (retryBudget < 1 || isRoleBehind(attempt))) {
+            checkOverdueAt(attempt, nowMs + patienceMs(attempt)); // silence may last on; the crowd will not
             return;
         }
-        if (keepUnrepeatable(attempt) || !lost && isRoleBehind(attempt)) return;
+        if (keepUnrepeatable(attempt)) return;
         double objectiveMs = request.terms.objectiveMs();
         boolean silent = attempt.engine.lastSuccessMs < attempt.sentMs;
         if (!silent && !lost && !attempt.excused && relativePace(attempt.engine) < OUTLIER) {
