Drains end each connection with its answer, at both fronts, and refuse late requests

Cause: whether a connection ends was decided when the head of its answer was written. A stream begun before the operators' call or SIGTERM ended on a connection that stayed: its client's next request was taken as late as at 3.9 s and held at 4 s, or streamed into the kill. The second front decided nothing at all, and an adopted stream's connection dropped a request that came early. Change: front.Door asks core.DrainSchedule at the head and again at the end of each answer, for both fronts; a connection ends there unless more has come on it. Idle WebSockets get a goodbye. Adopted connections keep what came early. server.LameDuckController logs what is left.

--- a/src/main/java/maplerail/core/AdmissionStage.java
+++ b/src/main/java/maplerail/core/AdmissionStage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import maplerail.algorithms.TokenBucket;
 import maplerail.core.ResponseObserver.Reason;
 
@@ -23,6 +24,7 @@
     private final LoopLagMonitor lag;
     private final Map<Integer, TeamUsage> usageByTeam = new HashMap<>();
     private AdmissionLimits limits;
+    private BooleanSupplier refusing = () -> false;
     private int openRequests;
 
     private static final class TeamUsage {
@@ -49,6 +51,11 @@
         this.lag = new LoopLagMonitor(loop, () -> openRequests > 0);
     }
 
+    /** Sets when every request is rejected: the process sends its clients away. */
+    public void rejectWhile(BooleanSupplier draining) {
+        refusing = draining;
+    }
+
     /** Sets other limits from now on; what is open counts against them. */
     public void changeLimits(AdmissionLimits newLimits) {
         limits = newLimits;
@@ -72,6 +79,7 @@
 
     private Optional<Rejection> check(InferenceRequest request) {
         if (exceedsContract(request)) return Optional.of(new Rejection(Reason.INVALID, 0));
+        if (refusing.getAsBoolean()) return Optional.of(new Rejection(Reason.DRAINING, 0));
         // The rest of a stream that broke is taken: its client would lose all that it has had so far.
         if (lag.lagMs() >= MAX_LAG_MS && !request.resumed()) return reject(Reason.OVERLOAD, RETRY_AFTER_LAG_MS);
         if (openRequests >= limits.maxOpenRequests()) return reject(Reason.OVERLOAD, RETRY_AFTER_BUSY_MS);
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import maplerail.core.ResponseObserver.Reason;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
 import maplerail.routing.RoutingAction.CancelAttempt;
@@ -107,6 +108,7 @@
     private void reject(RequestRecord record, AdmissionStage.Rejection rejection) {
         registry.answer(record, rejection.reason() == Reason.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
         registry.settle(record);
+        if (rejection.reason() == Reason.DRAINING) metrics.count(EventCount.REQUESTS_REFUSED_DRAINING);
         events.requestEnded(record, "rejected", rejection.reason());
         record.observer.onRejected(rejection.reason(), rejection.retryAfterMs());
     }
--- a/src/main/java/maplerail/core/ResponseObserver.java
+++ b/src/main/java/maplerail/core/ResponseObserver.java
@@ -17,6 +17,8 @@
         BUDGET,
         /** The gateway or the engines are at capacity. */
         OVERLOAD,
+        /** The process sends its clients away and takes nothing new. */
+        DRAINING,
         /** No engine could serve it. */
         ENGINE,
         /** There was no answer by its deadline. */
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/Door.java
@@ -10,7 +10,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
@@ -34,6 +37,9 @@
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
                     + "Connection: close\r\n\r\n")
             .getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DRAINING = ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                    + "Connection: close\r\n\r\n")
+            .getBytes(StandardCharsets.US_ASCII);
     private static final int ROOM_PART = 8; // of the places: kept free by ending what is idle
     private static final int FULL_PART = 32; // with fewer left nobody new gets in: any idle one may have to go
 
@@ -52,6 +58,8 @@
     private final ChannelListener<StreamConnection> next;
     private final EventLoop loop;
     private final int most;
+    private final DrainSchedule drain;
+    private final Metrics metrics;
     private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
     private boolean looking;
 
@@ -62,22 +70,31 @@
     }
 
     /** A door before a server's listener, through which at most so many connections should be at once. */
-    public Door(ChannelListener<StreamConnection> next, EventLoop loop, int most) {
+    public Door(
+            ChannelListener<StreamConnection> next, EventLoop loop, int most, DrainSchedule drain, Metrics metrics) {
         this.next = next;
         this.loop = loop;
         this.most = most;
+        this.drain = drain;
+        this.metrics = metrics;
     }
 
     @Override
     public void handleEvent(StreamConnection connection) {
+        open(connection, State.SILENT);
+        next.handleEvent(connection);
+    }
+
+    private Guest open(StreamConnection connection, State state) {
         Guest guest = new Guest();
+        guest.state = state;
         guest.sinceMs = loop.nowMs();
         guests.put(connection, guest);
         guest.ahead = new LookAhead(connection.getSourceChannel().getConduit(), () -> came(guest));
         connection.getSourceChannel().setConduit(guest.ahead);
         if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
         looking = true;
-        next.handleEvent(connection);
+        return guest;
     }
 
     /** The first byte of what comes: a connection with a request on its way does not count as idle. */
@@ -87,14 +104,29 @@
         if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
     }
 
-    /** A request's head is whole; its connection is idle again once the request is answered to the last byte. */
+    /**
+     * A request's head is whole; its connection is idle again once the request is answered to the last byte. While clients
+     * are sent away it ends with the answer, unless more has come on it, which is owed an answer as well: the head says so,
+     * or, where it was sent before, the end itself.
+     */
     public void entered(HttpServerExchange exchange) {
+        exchange.addResponseCommitListener(this::endWithAnswer);
         exchange.addExchangeCompleteListener((done, proceed) -> {
+            endWithAnswer(done);
             set(done, done.isPersistent() ? State.IDLE : State.PARTING);
             proceed.proceed();
         });
     }
 
+    private void endWithAnswer(HttpServerExchange exchange) {
+        if (!drain.isSendingAway() || !exchange.isPersistent()) return;
+        if (!(exchange.getConnection() instanceof HttpServerConnection http)) return;
+        Guest guest = guests.get(http.getChannel());
+        if (guest == null || guest.state == State.KEPT) return;
+        boolean moreHasCome = http.getExtraBytes() != null || !guest.ahead.ended() && guest.ahead.holds();
+        if (!moreHasCome) exchange.setPersistent(false);
+    }
+
     /** A request is whole: its connection stays until it is answered. */
     public void open(HttpServerExchange exchange) {
         set(exchange, State.OPEN);
@@ -132,7 +164,7 @@
             double age = now - guest.sinceMs;
             boolean late = switch (guest.state) {
                 case SILENT -> age >= ARRIVE_MS && quiet(guest);
-                case ARRIVING -> age >= ARRIVE_MS;
+                case ARRIVING -> age >= ARRIVE_MS || drain.isRefusingIncomplete();
                 case IDLE -> age >= LONG_IDLE_MS && quiet(guest);
                 case PARTING -> age >= PARTING_MS;
                 default -> false;
@@ -151,21 +183,39 @@
         Guest guest = guests.get(connection);
         if (guest.state == State.ARRIVING) {
             try {
-                connection.getSinkChannel().write(ByteBuffer.wrap(TOO_LATE));
-                connection.getSinkChannel().shutdownWrites();
-                connection.getSinkChannel().flush();
-                guest.state = State.PARTING;
-                guest.sinceMs = loop.nowMs();
-                guest.ahead.discard();
+                boolean draining = drain.isRefusingIncomplete();
+                connection.getSinkChannel().write(ByteBuffer.wrap(draining ? DRAINING : TOO_LATE));
+                count(
+                        draining
+                                ? EventCount.CONNECTIONS_CLOSED_DRAINING
+                                : EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT);
+                part(connection, guest);
                 return;
             } catch (IOException e) {
                 LOG.debug("a client's connection failed", e); // it is ended next
             }
         }
+        count(
+                guest.state == State.PARTING
+                        ? EventCount.CONNECTIONS_CLOSED_AFTER_ANSWER
+                        : EventCount.CONNECTIONS_CLOSED_IDLE);
         guests.remove(connection);
         IoUtils.safeClose(connection);
     }
 
+    private void count(EventCount closed) {
+        metrics.count(closed);
+    }
+
+    /** Ends our side; what still comes is thrown away, so that no reset takes the answer with it. */
+    private void part(StreamConnection connection, Guest guest) throws IOException {
+        connection.getSinkChannel().shutdownWrites();
+        connection.getSinkChannel().flush();
+        guest.state = State.PARTING;
+        guest.sinceMs = loop.nowMs();
+        guest.ahead.discard();
+    }
+
     /** While room is short, ends those that have been in a state for the longest. */
     private void end(State state, double leastMs, double now) {
         int over = guests.size() - (most - most / ROOM_PART);
@@ -177,7 +227,10 @@
                 .limit(over)
                 .map(Map.Entry::getKey)
                 .toList()
-                .forEach(this::turnOut);
+                .forEach(connection -> {
+                    metrics.count(EventCount.CONNECTIONS_CLOSED_FOR_ROOM);
+                    turnOut(connection);
+                });
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
@@ -186,7 +239,10 @@
         guests.forEach((connection, guest) -> {
             if ((guest.state == State.IDLE || guest.state == State.SILENT) && quiet(guest)) idle.add(connection);
         });
-        idle.forEach(IoUtils::safeClose);
+        idle.forEach(connection -> {
+            metrics.count(EventCount.CONNECTIONS_CLOSED_DRAINING);
+            IoUtils.safeClose(connection);
+        });
     }
 
     /** Ends all connections: the worker's end alone would leave them open. */
@@ -199,11 +255,37 @@
         guests.remove(connection);
     }
 
-    /** A connection on which an answer has just ended that another process began: idle, as after any answer. */
-    public void resume(StreamConnection connection) {
-        handleEvent(connection);
+    /** A connection whose answer another process began and this one goes on with. */
+    public AdoptedConnection adopt(StreamConnection connection) {
+        Guest guest = open(connection, State.OPEN);
+        return new AdoptedConnection(connection, guest.ahead, this);
+    }
+
+    /** The answer that another process began has ended: its connection is idle, as after any answer, or ends. */
+    void finish(StreamConnection connection, boolean closes) {
         Guest guest = guests.get(connection);
-        if (guest != null && guest.state == State.SILENT) guest.state = State.IDLE;
+        if (guest == null || guest.ahead.ended()) {
+            IoUtils.safeClose(connection);
+        } else if (closes || drain.isSendingAway() && !guest.ahead.holds()) {
+            endAdopted(connection, guest);
+        } else {
+            guest.state = guest.ahead.holds() ? State.ARRIVING : State.IDLE;
+            guest.sinceMs = loop.nowMs();
+            next.handleEvent(connection);
+        }
+    }
+
+    private void endAdopted(StreamConnection connection, Guest guest) {
+        try {
+            part(connection, guest);
+            connection.getSourceChannel().setReadListener(source -> {
+                if (guest.ahead.ended()) IoUtils.safeClose(connection);
+            });
+            connection.getSourceChannel().resumeReads();
+        } catch (IOException e) {
+            LOG.debug("a client's connection failed", e);
+            IoUtils.safeClose(connection);
+        }
     }
 
     /** Connections on which a request is open or on its way. */
--- a/src/main/java/maplerail/front/LookAhead.java
+++ b/src/main/java/maplerail/front/LookAhead.java
@@ -31,9 +31,10 @@
 
     /** True if the client has ended its side, or the connection broke; looks at what has come by now. */
     boolean ended() {
+        if (discarding) return endedWhileDiscarding();
         int before = early.remaining();
         try {
-            while (!ended && !discarding && early.remaining() < MOST) {
+            while (!ended && early.remaining() < MOST) {
                 ByteBuffer piece = ByteBuffer.allocate(PIECE);
                 int count = next.read(piece);
                 if (count < 0) ended = true;
@@ -57,6 +58,15 @@
         early = NOTHING;
     }
 
+    private boolean endedWhileDiscarding() {
+        try {
+            throwAway();
+        } catch (IOException e) {
+            ended = true;
+        }
+        return ended;
+    }
+
     private int throwAway() throws IOException {
         ByteBuffer piece = ByteBuffer.allocate(PIECE);
         for (int read = 0; !ended && read < MOST; read += piece.position()) {
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -11,6 +11,7 @@
 import io.undertow.websockets.core.CloseMessage;
 import io.undertow.websockets.core.WebSocketChannel;
 import io.undertow.websockets.core.WebSockets;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -40,7 +41,8 @@
     private final Lifecycle lifecycle;
     private final HttpSessions http;
     private final Set<Session> sessions = new HashSet<>();
-    private final Set<WebSocketChannel> channels = new HashSet<>();
+    private final Map<WebSocketChannel, Listening> channels = new HashMap<>();
+    private final EventLoop loop;
     private boolean taking = true;
     private Door door;
 
@@ -56,6 +58,7 @@
         this.tools = new Tools(config, services, loop);
         this.answers = new Answers(platform, names);
         this.lifecycle = lifecycle;
+        this.loop = loop;
         this.http = new HttpSessions(config, this, loop, MOST_MESSAGE);
     }
 
@@ -94,7 +97,7 @@
         Session session = new Session(team, this, config.handshake());
         Listening listening = new Listening(channel, session, gone);
         sessions.add(session);
-        channels.add(channel);
+        channels.put(channel, listening);
         channel.addCloseTask(closed -> {
             sessions.remove(session);
             channels.remove(closed);
@@ -107,12 +110,14 @@
     /** Hears a WebSocket's messages, each in its turn on the loop or at once. */
     private static final class Listening extends AbstractReceiveListener {
         private static final int MOST_AT_ONCE = 64;
+        private static final double GOODBYE_MS = 1_000; // for which its client may take to close a WebSocket
 
         private final WebSocketChannel channel;
         private final Session session;
         private final BooleanSupplier gone;
         private final Sink sink;
         private boolean within;
+        private boolean closing;
         private int heard;
 
         Listening(WebSocketChannel channel, Session session, BooleanSupplier gone) {
@@ -132,6 +137,15 @@
             }
         }
 
+        void closeIfIdle(EventLoop loop) {
+            if (closing || session.openRequests() > 0) return;
+            now();
+            if (session.openRequests() > 0) return;
+            closing = true;
+            WebSockets.sendClose(new CloseMessage(CloseMessage.GOING_AWAY, "draining"), channel, null);
+            loop.at(loop.nowMs() + GOODBYE_MS, () -> IoUtils.safeClose(channel));
+        }
+
         private void now() {
             if (gone.getAsBoolean()) {
                 IoUtils.safeClose(channel);
@@ -203,9 +217,17 @@
         return sessions.stream().mapToInt(Session::openRequests).sum() + http.openRequests();
     }
 
+    /**
+     * Ends the WebSockets on which nothing is asked, for a program that sends its clients away. What has come on one is heard
+     * first, so that no request is passed over; one whose client does not answer the goodbye is cut off.
+     */
+    public void closeIdleSockets() {
+        for (Listening listening : List.copyOf(channels.values())) listening.closeIfIdle(loop);
+    }
+
     /** Says goodbye to all clients, for a program that is about to stop. */
     public void close() {
-        for (WebSocketChannel channel : List.copyOf(channels)) {
+        for (WebSocketChannel channel : List.copyOf(channels.keySet())) {
             WebSockets.sendClose(new CloseMessage(CloseMessage.GOING_AWAY, "stopping"), channel, null);
         }
     }
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -201,6 +201,7 @@
                                     : RpcError.FAILED.failed(id, "the server says that the request is wrong");
                         case BUDGET -> RpcError.refused(id, "budget", retryAfterMs);
                         case DEADLINE -> RpcError.DEADLINE.failed(id, "deadline");
+                        case DRAINING -> RpcError.refused(id, "draining", BUSY_MS);
                         case OVERLOAD -> RpcError.refused(id, "overload", retryAfterMs);
                         default ->
                             refused
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/Answer.java
@@ -8,7 +8,6 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
 import maplerail.front.Departure;
@@ -23,7 +22,6 @@
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
 
     private final HttpServerExchange exchange;
-    private final BooleanSupplier leaving;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
     private RequestHandle ticket;
@@ -32,10 +30,9 @@
     private boolean ending;
     private boolean over;
 
-    /** The answer of an exchange; its connection ends with it if the program is leaving by then. */
-    Answer(HttpServerExchange exchange, BooleanSupplier leaving) {
+    /** The answer of an exchange. */
+    Answer(HttpServerExchange exchange) {
         this.exchange = exchange;
-        this.leaving = leaving;
     }
 
     void hold(RequestHandle held) {
@@ -64,7 +61,6 @@
     public boolean onEvent(byte[] event) {
         if (over) return true;
         if (sink == null) {
-            part();
             exchange.setStatusCode(200);
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
             exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
@@ -194,16 +190,10 @@
         }
     }
 
-    /** Guards against a client that goes on with its connection though the program sends its clients away. */
-    private void part() {
-        if (leaving.getAsBoolean()) exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-    }
-
     void say(int status, String message) {
         if (over) return;
         over = true;
         if (status != 200) LOG.debug("{}: {} {}", exchange.getRequestHeaders().getFirst("Req-Id"), status, message);
-        part();
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         exchange.getResponseSender().send("{\"error\":{\"message\":\"" + message + "\"}}\n");
--- a/src/main/java/maplerail/front/platform/ContinuedAnswer.java
+++ b/src/main/java/maplerail/front/platform/ContinuedAnswer.java
@@ -5,9 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.function.Consumer;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
+import maplerail.front.AdoptedConnection;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
@@ -21,44 +21,33 @@
 
     private final StreamConnection connection;
     private final boolean closes;
-    private final Consumer<StreamConnection> next;
+    private final AdoptedConnection client;
     private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
     private int waitingBytes;
     private RequestHandle ticket;
     private boolean paused;
-    private boolean early;
     private boolean ending;
     private boolean over;
 
-    /** The client of a connection; {@code next} takes it once the answer is whole, unless {@code closes}. */
-    public ContinuedAnswer(StreamConnection connection, boolean closes, Consumer<StreamConnection> next) {
+    /** The client of a connection, which was told that it ends with this answer if {@code closes}. */
+    public ContinuedAnswer(StreamConnection connection, boolean closes, AdoptedConnection client) {
         this.connection = connection;
         this.closes = closes;
-        this.next = next;
+        this.client = client;
     }
 
     /** Its request goes on under this ticket; from here on it is seen when it leaves. */
     public void hold(RequestHandle held) {
         ticket = held;
         connection.getSinkChannel().setWriteListener(c -> write());
-        connection.getSourceChannel().setReadListener(c -> look());
-        connection.getSourceChannel().resumeReads();
+        client.watch(this::look);
     }
 
+    /** What has come is the next request's: it is read once this answer has ended. */
     private void look() {
-        if (over) return;
-        try {
-            int count = connection.getSourceChannel().read(ByteBuffer.allocate(1));
-            if (count < 0) left();
-            // A request before the answer to the last is whole: the connection ends after this answer, and it comes
-            // again.
-            if (count > 0) {
-                early = true;
-                connection.getSourceChannel().suspendReads();
-            }
-        } catch (IOException e) {
-            left();
-        }
+        if (over) connection.getSourceChannel().suspendReads();
+        else if (client.isDisconnected()) left();
+        else if (client.isFull()) connection.getSourceChannel().suspendReads();
     }
 
     private void left() {
@@ -108,8 +97,7 @@
         if (ending) {
             over = true;
             connection.getSourceChannel().suspendReads();
-            if (closes || early) IoUtils.safeClose(connection);
-            else next.accept(connection);
+            client.finish(closes);
         } else if (paused && waitingBytes <= MOST_WAITING / 2) {
             paused = false;
             ticket.onClientWritable();
@@ -142,7 +130,8 @@
 
     @Override
     public Optional<Object> detachConnection() {
-        if (over || ending || early || !waiting.isEmpty()) return Optional.empty();
+        if (over || ending || client.isDisconnected() || client.hasSentMore() || !waiting.isEmpty())
+            return Optional.empty();
         over = true;
         connection.getSourceChannel().suspendReads();
         connection.getSinkChannel().suspendWrites();
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -46,7 +46,7 @@
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
         door.entered(exchange);
-        Answer answer = new Answer(exchange, () -> lifecycle.phase() != Phase.READY);
+        Answer answer = new Answer(exchange);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
--- a/src/main/java/maplerail/server/FrontListener.java
+++ b/src/main/java/maplerail/server/FrontListener.java
@@ -8,9 +8,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
 import maplerail.front.Door;
 import maplerail.front.Turnstile;
+import maplerail.metrics.Metrics;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -51,6 +53,8 @@
             ByteBufferPool buffers,
             HttpHandler handler,
             int maxConnections,
+            DrainSchedule drain,
+            Metrics metrics,
             Consumer<Door> attach,
             SocketOpener opener)
             throws IOException {
@@ -62,7 +66,7 @@
                         .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                         .getMap());
         http.setRootHandler(handler);
-        Door connections = new Door(http, loop, maxConnections);
+        Door connections = new Door(http, loop, maxConnections, drain, metrics);
         attach.accept(connections);
         OptionMap options = OptionMap.builder()
                 .set(Options.BACKLOG, BACKLOG)
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -20,6 +20,7 @@
 import maplerail.core.AdmissionStage;
 import maplerail.core.Broker;
 import maplerail.core.DecisionLog;
+import maplerail.core.DrainSchedule;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformDiscovery;
 import maplerail.front.admin.AdminDoor;
@@ -60,8 +61,6 @@
     private static final int MAX_POOLED_BUFFERS = 512;
     private static final double FIRST_LIST_MS = 1_000; // for which a start waits for discovery before it listens
     private static final double MIGRATION_DELAY_MS = 100; // after it listens, from which streams may come here
-    private static final double LAME_DUCK_GRACE_MS = 1_000; // from which idle connections of a lame duck are closed
-    private static final double LAME_DUCK_POLL_MS = 50;
     private static final double PUBLISH_MS = 100; // between two looks at the engines for the metrics
 
     private final GatewayLifecycle lifecycle = new GatewayLifecycle();
@@ -83,6 +82,8 @@
     private final PeerService peers;
     private final Optional<HandoverService> handover;
     private final Optional<ToolGateway> tools;
+    private final DrainSchedule drainSchedule;
+    private final LameDuckController lameDuck;
     private final DrainController drain;
     private volatile NodeConfig config;
     private volatile FrontListener listener; // null until it listens
@@ -108,6 +109,8 @@
         RoutingSettings settings = config.settings();
         SplittableRandom advice = new SplittableRandom(settings.seed() ^ ADVICE_SEED);
         admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(wire.maxOpen()), loop, advice);
+        drainSchedule = new DrainSchedule(lifecycle.phases(), loop);
+        admission.rejectWhile(drainSchedule::isRefusing);
         broker = new Broker(
                 createPolicy(settings),
                 settings,
@@ -134,6 +137,7 @@
         peers = createPeers(config);
         handover = this.sharedFolder.map(
                 folder -> new HandoverService(folder, worker, loop, broker, lifecycle::isStopping));
+        lameDuck = new LameDuckController(loop, lifecycle, this::closeIdleConnections, this::clientsLeft);
         drain = new DrainController(loop, lifecycle, broker, new DrainHost());
     }
 
@@ -161,7 +165,16 @@
 
     private ToolGateway createTools(ToolsConfig toolsConfig) {
         return new ToolGateway(
-                toolsConfig, config, broker, lifecycle.phases(), metrics, worker, loop, buffers, descriptors);
+                toolsConfig,
+                config,
+                broker,
+                lifecycle.phases(),
+                drainSchedule,
+                metrics,
+                worker,
+                loop,
+                buffers,
+                descriptors);
     }
 
     private PeerService createPeers(NodeConfig initial) {
@@ -233,7 +246,14 @@
         if (lifecycle.isListening() || lifecycle.isStopping()) return;
         try {
             listener = FrontListener.open(
-                    loop, buffers, platform, descriptors.platformClients(), platform::at, this::openPlatformSocket);
+                    loop,
+                    buffers,
+                    platform,
+                    descriptors.platformClients(),
+                    drainSchedule,
+                    metrics,
+                    platform::at,
+                    this::openPlatformSocket);
             if (tools.isPresent()) tools.get().listen();
             if (config.inherited()) migration = sharedFolder.map(this::createMigration);
         } catch (IOException | RuntimeException e) {
@@ -345,19 +365,22 @@
         boolean already = on == (phase() == Phase.LAME_DUCK);
         if (!lifecycle.setLameDuck(on)) return false;
         if (already) return true;
-        LOG.info(on ? "lame duck: clients are sent away" : "lame duck ended: clients may come again");
-        if (on) loop.execute(() -> loop.at(loop.nowMs() + LAME_DUCK_GRACE_MS, this::closeIdleOfLameDuck));
+        loop.execute(() -> lameDuck.onChanged(on));
         return true;
     }
 
-    /** Clients leave with their next answer; connections on which nothing is asked any more are closed. */
-    private void closeIdleOfLameDuck() {
-        if (phase() != Phase.LAME_DUCK) return;
-        if (lifecycle.isListening()) {
-            listener.closeIdleConnections();
-            tools.ifPresent(front -> front.listener().closeIdleConnections());
-        }
-        loop.at(loop.nowMs() + LAME_DUCK_POLL_MS, this::closeIdleOfLameDuck);
+    /** Ends the connections of either front on which nothing is asked. */
+    private void closeIdleConnections() {
+        if (!lifecycle.isListening()) return;
+        listener.closeIdleConnections();
+        tools.ifPresent(ToolGateway::closeIdleConnections);
+    }
+
+    private String clientsLeft() {
+        if (!lifecycle.isListening()) return "connections=0";
+        String left = "connections=" + listener.connections().connections() + " busy="
+                + listener.connections().busy() + " open_requests=" + openRequests();
+        return left + tools.map(front -> " " + front.clientsLeft()).orElse("");
     }
 
     // ---- Shutdown ----
@@ -411,7 +434,7 @@
 
         @Override
         public void closeIdleConnections() {
-            listener.closeIdleConnections();
+            Gateway.this.closeIdleConnections();
             tools.ifPresent(front -> front.front().stopTaking());
         }
 
@@ -423,7 +446,7 @@
                     || broker.pendingReleases() > 0
                     || engines.releasing() > 0
                     || migration.map(StreamMigration::inTransit).orElse(0) > 0
-                    || tools.map(front -> front.front().openRequests()).orElse(0) > 0;
+                    || tools.map(ToolGateway::isBusy).orElse(false);
         }
 
         @Override
--- a/src/main/java/maplerail/server/StreamMigration.java
+++ b/src/main/java/maplerail/server/StreamMigration.java
@@ -133,7 +133,7 @@
             LOG.warn("stream not adopted request={} error={}", stream.requestId(), e.toString());
             return false;
         }
-        ContinuedAnswer answer = new ContinuedAnswer(toClient, stream.closes(), clients::resume);
+        ContinuedAnswer answer = new ContinuedAnswer(toClient, stream.closes(), clients.adopt(toClient));
         answer.hold(broker.adoptStream(
                 stream.requestClass(),
                 stream.requestId(),
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -5,6 +5,7 @@
 import maplerail.config.NodeConfig;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Broker;
+import maplerail.core.DrainSchedule;
 import maplerail.core.Lifecycle;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.metrics.Metrics;
@@ -20,6 +21,8 @@
     private final XnioLoop loop;
     private final ByteBufferPool buffers;
     private final DescriptorBudget descriptors;
+    private final DrainSchedule drain;
+    private final Metrics metrics;
     private FrontListener listener;
 
     ToolGateway(
@@ -27,6 +30,7 @@
             NodeConfig nodeConfig,
             Broker broker,
             Lifecycle lifecycle,
+            DrainSchedule drain,
             Metrics metrics,
             XnioWorker worker,
             XnioLoop loop,
@@ -38,7 +42,9 @@
         this.buffers = buffers;
         this.descriptors = descriptors;
         long seed = nodeConfig.settings().seed();
-        services = new ToolServices(config, loop, buffers, seed, descriptors.toolServers(), metrics);
+        this.drain = drain;
+        this.metrics = metrics;
+        services = new ToolServices(config, loop, buffers, seed, descriptors.toolServers(), metrics, drain);
         front = new RpcFront(config, services.brokers(), broker, nodeConfig.names(), lifecycle, loop);
     }
 
@@ -54,10 +60,28 @@
                 buffers,
                 front,
                 descriptors.toolClients(),
+                drain,
+                metrics,
                 front::at,
                 (onAccept, options) -> worker.createStreamConnectionServer(config.listen(), onAccept, options));
     }
 
+    /** Ends the connections on which nothing is asked, WebSockets too. */
+    void closeIdleConnections() {
+        listener.closeIdleConnections();
+        front.closeIdleSockets();
+    }
+
+    /** True while a client may have asked for something that it has no answer to yet. */
+    boolean isBusy() {
+        return listener.isBusy() || front.openRequests() > 0;
+    }
+
+    /** The clients that are still there, for the log. */
+    String clientsLeft() {
+        return "tool_connections=" + listener.connections().connections() + " tool_requests=" + front.openRequests();
+    }
+
     RpcFront front() {
         return front;
     }
--- a/src/main/java/maplerail/server/ToolServices.java
+++ b/src/main/java/maplerail/server/ToolServices.java
@@ -11,6 +11,7 @@
 import maplerail.config.ToolsConfig;
 import maplerail.core.AdmissionStage;
 import maplerail.core.Broker;
+import maplerail.core.DrainSchedule;
 import maplerail.discovery.ConsulDiscovery;
 import maplerail.metrics.Metrics;
 import maplerail.net.Pool;
@@ -47,13 +48,15 @@
             io.undertow.connector.ByteBufferPool buffers,
             long seed,
             int mostConnections,
-            Metrics metrics) {
+            Metrics metrics,
+            DrainSchedule drain) {
         this.config = config;
         this.loop = loop;
         this.seed = seed;
         this.pool = new Pool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         RoutingSettings settings = config.settings(seed);
         AdmissionStage admit = new AdmissionStage(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
+        admit.rejectWhile(drain::isRefusing);
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/DoorTest.java
@@ -16,7 +16,10 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
+import maplerail.core.Lifecycle;
+import maplerail.metrics.Metrics;
 import maplerail.net.XnioLoop;
 import maplerail.support.StandIn;
 import maplerail.support.World;
@@ -76,7 +79,7 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         HttpOpenListener http = new HttpOpenListener(new DefaultByteBufferPool(true, 8_192), OptionMap.EMPTY);
-        Door door = new Door(http, loop, 100);
+        Door door = new Door(http, loop, 100, new DrainSchedule(new Lifecycle(), loop), new Metrics());
         http.setRootHandler(exchange -> {
             door.entered(exchange);
             exchange.getResponseSender().send("answer");
