--- a/src/main/java/maplerail/core/ReleaseGate.java
+++ b/src/main/java/maplerail/core/ReleaseGate.java
@@ -7,4 +7,7 @@
 
     /** True while other engines may be asked: they would release whatever is held for the request, a later state too. */
     boolean mayAskOthers();
+
+    /** True for an engine that left an attempt of the request unanswered: others are asked before it. */
+    boolean isSuspect(long engine);
 }
--- a/src/main/java/maplerail/core/StateReleaser.java
+++ b/src/main/java/maplerail/core/StateReleaser.java
@@ -1,8 +1,6 @@
 package maplerail.core;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /** Releases the states that engines hold for a request once no attempt waits for them any more. */
 final class StateReleaser {
@@ -87,16 +85,7 @@
 
     private void send(RequestRecord record, long engine) {
         double untilMs = loop.nowMs() + Math.max(RELEASE_TRIED_MS, record.terms.reservationLimitMs());
-        transport.release(engine, likelyToAnswer(record), record.request.id(), untilMs, new Gate(record));
-    }
-
-    /** The ready engines but for those that have left an attempt of the request unanswered. */
-    private Set<Long> likelyToAnswer(RequestRecord record) {
-        Set<Long> engines = new HashSet<>(directory.readyEngines());
-        record.attempts.stream()
-                .filter(attempt -> !attempt.answered)
-                .forEach(attempt -> engines.remove(attempt.engine));
-        return engines.isEmpty() ? directory.readyEngines() : engines;
+        transport.release(engine, directory.readyEngines(), record.request.id(), untilMs, new Gate(record));
     }
 
     private record Gate(RequestRecord record) implements ReleaseGate {
@@ -109,5 +98,10 @@
         public boolean mayAskOthers() {
             return record.answered || record.reservationOverdue || record.confirmedHolders.isEmpty();
         }
+
+        @Override
+        public boolean isSuspect(long engine) {
+            return record.attempts.stream().anyMatch(attempt -> attempt.engine == engine && !attempt.answered);
+        }
     }
 }
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -200,24 +201,29 @@
 
     @Override
     public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {
-        InetSocketAddress holder = address(engine);
+        InetSocketAddress known = address(engine);
+        List<InetSocketAddress> instead = lastToAnswer(others, known, id, gate);
+        // Any engine can release a state: one that has long left may have left it behind.
+        InetSocketAddress holder = known != null || instead.isEmpty() ? known : instead.get(0);
         if (holder == null) return;
         releasing++;
-        List<InetSocketAddress> instead = lastToAnswer(others, holder, id);
         new StateRelease(pool, metrics, holder, instead, id, untilMs, gate, () -> releasing--).start();
     }
 
-    /** The engines that may be asked instead of one: those first that answered here last, equals in an order of the id's. */
-    private List<InetSocketAddress> lastToAnswer(Set<Long> among, InetSocketAddress but, String id) {
+    /** The engines that may be asked instead of one: no suspects, and those that answered here last, come first. */
+    private List<InetSocketAddress> lastToAnswer(Set<Long> among, InetSocketAddress but, String id, ReleaseGate gate) {
+        Set<InetSocketAddress> suspects = new HashSet<>();
         Map<InetSocketAddress, Double> quietMs = new HashMap<>();
         for (long engine : among) {
             InetSocketAddress address = address(engine);
             if (address != null && !address.equals(but)) {
                 quietMs.put(address, loop.nowMs() - pool.idleSinceMs(address));
+                if (gate.isSuspect(engine)) suspects.add(address);
             }
         }
         return quietMs.keySet().stream()
-                .sorted(Comparator.<InetSocketAddress>comparingDouble(quietMs::get)
+                .sorted(Comparator.comparing(suspects::contains)
+                        .thenComparingDouble(quietMs::get)
                         .thenComparingLong(address -> (address.hashCode() ^ id.hashCode()) * SPREAD))
                 .limit(MOST_OTHERS)
                 .toList();
--- a/src/main/java/maplerail/server/DrainController.java
+++ b/src/main/java/maplerail/server/DrainController.java
@@ -15,6 +15,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(DrainController.class);
     private static final double ARRIVING_MS = 600; // after SIGTERM, for which connections may still arrive
     private static final double POLL_MS = 20;
+    private static final double REPORT_MS = 500; // between two lines of the log on what is left
     /** After SIGTERM the process is ended by force: the longest deadline, 3 s at most, and this much later. */
     private static final double FORCE_MS = 700;
 
@@ -30,6 +31,7 @@
     private final GatewayLifecycle lifecycle;
     private final Broker broker;
     private final Host host;
+    private double nextReportMs;
 
     /** The parts of a gateway, as far as its shutdown needs them. */
     interface Host {
@@ -39,6 +41,9 @@
         /** Gives up what the process that serves on needs: sockets, the peers' address, what this one knows. */
         void releaseShared();
 
+        /** Sets the latest deadline of requests from now on, at both fronts. */
+        void limitDeadlines(double latestMs);
+
         /** Hands running streams on until a time. */
         void handOnStreams(double untilMs);
 
@@ -51,6 +56,9 @@
         /** True while anything that was taken is not finished. */
         boolean hasOpenWork();
 
+        /** What is not finished, for the log. */
+        String openWork();
+
         /** Everything is finished. */
         void onDrained();
     }
@@ -73,7 +81,7 @@
         host.releaseShared();
         double forcedMs = loop.nowMs() + forcedAfterMs();
         // A request that comes on a kept connection just before the end would be cut off by it.
-        broker.limitDeadlines(forcedMs - ANSWER_MARGIN_MS);
+        host.limitDeadlines(forcedMs - ANSWER_MARGIN_MS);
         loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
         host.handOnStreams(forcedMs - NOT_HANDED_ON_MS);
         if (host.config().wire().resume()) loop.at(forcedMs - BREAK_OFF_MS, () -> beginBreakingOff(forcedMs));
@@ -105,7 +113,14 @@
 
     private void finish() {
         host.closeIdleConnections();
-        if (host.hasOpenWork()) loop.at(loop.nowMs() + POLL_MS, this::finish);
-        else host.onDrained();
+        if (!host.hasOpenWork()) {
+            host.onDrained();
+            return;
+        }
+        if (loop.nowMs() >= nextReportMs) {
+            LOG.info("draining open_requests={} {}", broker.unansweredRequests(), host.openWork());
+            nextReportMs = loop.nowMs() + REPORT_MS;
+        }
+        loop.at(loop.nowMs() + POLL_MS, this::finish);
     }
 }
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -422,6 +422,12 @@
             handover.ifPresent(HandoverService::leave);
         }
 
+        @Override
+        public void limitDeadlines(double latestMs) {
+            broker.limitDeadlines(latestMs);
+            tools.ifPresent(front -> front.services().brokers().values().forEach(b -> b.limitDeadlines(latestMs)));
+        }
+
         @Override
         public void handOnStreams(double untilMs) {
             migration.ifPresent(streams -> streams.handOn(untilMs));
@@ -449,6 +455,11 @@
                     || tools.map(ToolGateway::isBusy).orElse(false);
         }
 
+        @Override
+        public String openWork() {
+            return clientsLeft() + " releases=" + engines.releasing() + " repeats=" + broker.pendingReleases();
+        }
+
         @Override
         public void onDrained() {
             if (lifecycle.isListening()) tools.ifPresent(front -> front.front().close());
--- a/src/main/java/maplerail/server/StreamMigration.java
+++ b/src/main/java/maplerail/server/StreamMigration.java
@@ -200,10 +200,17 @@
                 onSent(batch.size(), lost);
                 connected = works;
                 if (works) sendNextBatch(outbox, untilMs);
+                else reconnect(outbox, untilMs);
             });
         });
     }
 
+    /** The process that took streams may have ended, and another one serve on: streams that still run go there. */
+    private void reconnect(DescriptorChannel.Sender broken, double untilMs) {
+        worker.execute(() -> IoUtils.safeClose(broken));
+        if (loop.nowMs() < untilMs) loop.at(loop.nowMs() + RECONNECT_MS, () -> worker.execute(() -> connect(untilMs)));
+    }
+
     private void sendNextBatch(DescriptorChannel.Sender outbox, double untilMs) {
         loop.at(loop.nowMs() + BATCH_INTERVAL_MS, () -> sendBatch(outbox, untilMs));
     }
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -256,6 +256,32 @@
         assertThat(writer.count("POST")).isEqualTo(3);
     }
 
+    /** A request that comes before its client's stream has ended, as clients that send ahead do, was read and dropped. */
+    @Test
+    void whatComesEarlyOnAMigratedStreamIsAnsweredAfterIt() throws Exception {
+        long first = start("a", "good");
+        awaitReady("a");
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.setSoTimeout(20_000);
+            client.getOutputStream()
+                    .write(World.request("held1", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+            StandIn.Exchange stream = World.take(held);
+            start("b", "good");
+            awaitReady("b");
+            signal("TERM", first);
+            await("a has gone", () -> !alive(first));
+            client.getOutputStream()
+                    .write(World.request("next", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
+            stream.chunk("data: 2\n\n");
+            stream.chunk("data: [DONE]\n\n");
+            stream.last();
+            assertThat(World.untilLastChunk(client.getInputStream())).contains("data: 2", "[DONE]");
+            assertThat(World.untilLastChunk(client.getInputStream()))
+                    .startsWith("HTTP/1.1 200")
+                    .endsWith("\r\n0\r\n\r\n");
+        }
+    }
+
     private long figure(String name, String figure) {
         Matcher door =
                 Pattern.compile("operators are answered at \\S*:(\\d+)\\s").matcher(log(name));
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -45,6 +45,11 @@
         public boolean mayAskOthers() {
             return true;
         }
+
+        @Override
+        public boolean isSuspect(long engine) {
+            return false;
+        }
     };
 
     /** For tests that post until a connection has settled: a quick machine opens many until then, and a full pool ends them. */
