UpgradeIT: the request that came early has been seen before the stream's end

Cause: the test sent it and ended the stream in one moment, and so passed on the program before its fix too. Change: two events 0.2 s apart in between.

--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -272,10 +273,13 @@
             await("a has gone", () -> !alive(first));
             client.getOutputStream()
                     .write(World.request("next", "lookup", "5.0").getBytes(StandardCharsets.UTF_8));
-            stream.chunk("data: 2\n\n");
-            stream.chunk("data: [DONE]\n\n");
+            // Two events some time apart: what came early has been seen by then.
+            for (int i = 2; i < 4; i++) {
+                TimeUnit.MILLISECONDS.sleep(200);
+                stream.chunk("data: " + i + "\n\n");
+            }
             stream.last();
-            assertThat(World.untilLastChunk(client.getInputStream())).contains("data: 2", "[DONE]");
+            assertThat(World.untilLastChunk(client.getInputStream())).contains("data: 2", "data: 3");
             assertThat(World.untilLastChunk(client.getInputStream()))
                     .startsWith("HTTP/1.1 200")
                     .endsWith("\r\n0\r\n\r\n");
