--- a/src/main/java/maplerail/front/Turnstile.java
+++ b/src/main/java/maplerail/front/AcceptThrottle.java
@@ -14,21 +14,21 @@
  * such as a program just started meets: taken in at one go, it kept the loop from what engines had answered for more
  * than a second, so that states which nobody had seen counted as pinned.
  */
-public final class Turnstile implements ChannelListener<AcceptingChannel<StreamConnection>> {
+public final class AcceptThrottle implements ChannelListener<AcceptingChannel<StreamConnection>> {
     /** The most connections let in before the loop looks after the rest. */
     public static final int AT_ONCE = 4;
 
-    private static final Logger LOG = LoggerFactory.getLogger(Turnstile.class);
+    private static final Logger LOG = LoggerFactory.getLogger(AcceptThrottle.class);
     private static final double PAUSE_MS = 1;
     private static final double LATE_MS = 60; // of a turn, from which the loop has enough to do
 
     private final ChannelListener<StreamConnection> next;
     private final EventLoop loop;
     private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
-    private boolean turning;
+    private boolean admitting;
 
-    /** A turnstile before what looks after connections that are open. */
-    public Turnstile(ChannelListener<StreamConnection> next, EventLoop loop) {
+    /** Creates a throttle before what manages open connections. */
+    public AcceptThrottle(ChannelListener<StreamConnection> next, EventLoop loop) {
         this.next = next;
         this.loop = loop;
     }
@@ -46,7 +46,7 @@
         } catch (IOException e) {
             LOG.warn("a connection could not be taken: {}", e.getMessage());
         }
-        if (!turning) turn(AT_ONCE);
+        if (!admitting) admit(AT_ONCE);
     }
 
     /**
@@ -54,10 +54,10 @@
      * connection at a time is held back as well. A program that is behind already lets in one at a time: let in only to
      * be refused, each client would come again at once and cost as much as if it had been served.
      */
-    private void turn(int most) {
-        turning = !waiting.isEmpty();
+    private void admit(int most) {
+        admitting = !waiting.isEmpty();
         for (int i = 0; i < most && !waiting.isEmpty(); i++) next.handleEvent(waiting.poll());
         double due = loop.nowMs() + PAUSE_MS;
-        if (turning) loop.at(due, () -> turn(loop.nowMs() - due < LATE_MS ? AT_ONCE : 1));
+        if (admitting) loop.at(due, () -> admit(loop.nowMs() - due < LATE_MS ? AT_ONCE : 1));
     }
 }
--- a/src/main/java/maplerail/front/AdoptedConnection.java
+++ b/src/main/java/maplerail/front/AdoptedConnection.java
@@ -5,10 +5,10 @@
 /** A client's connection whose answer another process began: what its client does meanwhile, and how it goes on after it. */
 public final class AdoptedConnection {
     private final StreamConnection connection;
-    private final LookAhead ahead;
-    private final Door connections;
+    private final ReadAheadConduit ahead;
+    private final ConnectionManager connections;
 
-    AdoptedConnection(StreamConnection connection, LookAhead ahead, Door connections) {
+    AdoptedConnection(StreamConnection connection, ReadAheadConduit ahead, ConnectionManager connections) {
         this.connection = connection;
         this.ahead = ahead;
         this.connections = connections;
--- a/src/main/java/maplerail/front/Door.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -21,19 +21,19 @@
 import org.xnio.StreamConnection;
 
 /**
- * Every connection that clients have open at one listener, and since when each is what it is. Ends those that say
- * nothing, or begin a request and don't end it, and makes room by ending those that have long been idle. Guards
- * against clients that hold a descriptor for nothing: without one no other client and no engine can be reached.
+ * Manages the connections that clients have open at one listener: since when each is in which state. Ends those that say
+ * nothing, or begin a request and do not complete it, makes room by ending those that have long been idle, and ends each with
+ * its answer while clients are sent away. A client that held a descriptor for nothing would keep others and engines out.
  */
-public final class Door implements ChannelListener<StreamConnection> {
-    private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+public final class ConnectionManager implements ChannelListener<StreamConnection> {
+    private static final Logger LOG = LoggerFactory.getLogger(ConnectionManager.class);
     /** From the connection's start, or its request's first byte, until the request must be whole. */
     private static final double ARRIVE_MS = 2_500;
 
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
     private static final double LONG_IDLE_MS = 30_000;
-    private static final double LOOK_MS = 50;
+    private static final double SWEEP_MS = 50;
     private static final byte[] TOO_LATE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
                     + "Connection: close\r\n\r\n")
             .getBytes(StandardCharsets.US_ASCII);
@@ -47,11 +47,17 @@
             1_000; // after an answer that ends its connection, for the client to end it too
 
     private enum State {
+        /** New, nothing has come on it. */
         SILENT,
+        /** A request is on its way and not complete. */
         ARRIVING,
+        /** A request waits for the end of its answer. */
         OPEN,
+        /** Between two requests. */
         IDLE,
-        KEPT,
+        /** A WebSocket, which its session looks after. */
+        UPGRADED,
+        /** Our side has ended; what still comes is thrown away. */
         PARTING
     }
 
@@ -60,17 +66,17 @@
     private final int most;
     private final DrainSchedule drain;
     private final Metrics metrics;
-    private final Map<StreamConnection, Guest> guests = new LinkedHashMap<>();
-    private boolean looking;
+    private final Map<StreamConnection, ClientConnection> clients = new LinkedHashMap<>();
+    private boolean sweeping;
 
-    private static final class Guest {
+    private static final class ClientConnection {
         State state = State.SILENT;
         double sinceMs;
-        LookAhead ahead;
+        ReadAheadConduit readAhead;
     }
 
-    /** A door before a server's listener, through which at most so many connections should be at once. */
-    public Door(
+    /** Creates a manager before a server's listener, for at most so many connections at once. */
+    public ConnectionManager(
             ChannelListener<StreamConnection> next, EventLoop loop, int most, DrainSchedule drain, Metrics metrics) {
         this.next = next;
         this.loop = loop;
@@ -85,23 +91,23 @@
         next.handleEvent(connection);
     }
 
-    private Guest open(StreamConnection connection, State state) {
-        Guest guest = new Guest();
-        guest.state = state;
-        guest.sinceMs = loop.nowMs();
-        guests.put(connection, guest);
-        guest.ahead = new LookAhead(connection.getSourceChannel().getConduit(), () -> came(guest));
-        connection.getSourceChannel().setConduit(guest.ahead);
-        if (!looking) loop.at(loop.nowMs() + LOOK_MS, this::look);
-        looking = true;
-        return guest;
+    private ClientConnection open(StreamConnection connection, State state) {
+        ClientConnection client = new ClientConnection();
+        client.state = state;
+        client.sinceMs = loop.nowMs();
+        clients.put(connection, client);
+        client.readAhead = new ReadAheadConduit(connection.getSourceChannel().getConduit(), () -> onBytes(client));
+        connection.getSourceChannel().setConduit(client.readAhead);
+        if (!sweeping) loop.at(loop.nowMs() + SWEEP_MS, this::sweep);
+        sweeping = true;
+        return client;
     }
 
     /** The first byte of what comes: a connection with a request on its way does not count as idle. */
-    private void came(Guest guest) {
+    private void onBytes(ClientConnection client) {
         // A new connection's time to get its request in runs from its start: it may be fed a byte at a time.
-        if (guest.state == State.IDLE) guest.sinceMs = loop.nowMs();
-        if (guest.state == State.IDLE || guest.state == State.SILENT) guest.state = State.ARRIVING;
+        if (client.state == State.IDLE) client.sinceMs = loop.nowMs();
+        if (client.state == State.IDLE || client.state == State.SILENT) client.state = State.ARRIVING;
     }
 
     /**
@@ -109,7 +115,7 @@
      * are sent away it ends with the answer, unless more has come on it, which is owed an answer as well: the head says so,
      * or, where it was sent before, the end itself.
      */
-    public void entered(HttpServerExchange exchange) {
+    public void onRequestHead(HttpServerExchange exchange) {
         exchange.addResponseCommitListener(this::endWithAnswer);
         exchange.addExchangeCompleteListener((done, proceed) -> {
             endWithAnswer(done);
@@ -121,106 +127,103 @@
     private void endWithAnswer(HttpServerExchange exchange) {
         if (!drain.isSendingAway() || !exchange.isPersistent()) return;
         if (!(exchange.getConnection() instanceof HttpServerConnection http)) return;
-        Guest guest = guests.get(http.getChannel());
-        if (guest == null || guest.state == State.KEPT) return;
-        boolean moreHasCome = http.getExtraBytes() != null || !guest.ahead.ended() && guest.ahead.holds();
+        ClientConnection client = clients.get(http.getChannel());
+        if (client == null || client.state == State.UPGRADED) return;
+        boolean moreHasCome = http.getExtraBytes() != null || !client.readAhead.ended() && client.readAhead.holds();
         if (!moreHasCome) exchange.setPersistent(false);
     }
 
     /** A request is whole: its connection stays until it is answered. */
-    public void open(HttpServerExchange exchange) {
+    public void onRequestComplete(HttpServerExchange exchange) {
         set(exchange, State.OPEN);
     }
 
     /** The connection is no longer one of requests and answers; whoever took it over looks after it. */
-    public void keep(HttpServerExchange exchange) {
-        set(exchange, State.KEPT);
+    public void onUpgraded(HttpServerExchange exchange) {
+        set(exchange, State.UPGRADED);
     }
 
     private void set(HttpServerExchange exchange, State state) {
         ServerConnection connection = exchange.getConnection();
-        Guest guest = connection instanceof HttpServerConnection http ? guests.get(http.getChannel()) : null;
-        if (guest == null || guest.state == State.KEPT) return;
-        guest.state = state;
-        guest.sinceMs = loop.nowMs();
-        if (state == State.PARTING) guest.ahead.discard();
+        ClientConnection client =
+                connection instanceof HttpServerConnection http ? clients.get(http.getChannel()) : null;
+        if (client == null || client.state == State.UPGRADED) return;
+        client.state = state;
+        client.sinceMs = loop.nowMs();
+        if (state == State.PARTING) client.readAhead.discard();
     }
 
     /**
      * True if nothing has come on a connection that waits for a request. Guards against a loop that is behind: what came
      * before the connection's end is a request that was taken, and has its answer.
      */
-    private boolean quiet(Guest guest) {
-        if (guest.ahead.ended() || !guest.ahead.holds()) return true;
-        came(guest);
+    private boolean quiet(ClientConnection client) {
+        if (client.readAhead.ended() || !client.readAhead.holds()) return true;
+        onBytes(client);
         return false;
     }
 
-    private void look() {
+    private void sweep() {
         double now = loop.nowMs();
-        guests.keySet().removeIf(connection -> !connection.isOpen());
+        clients.keySet().removeIf(connection -> !connection.isOpen());
         List<StreamConnection> ended = new ArrayList<>();
-        guests.forEach((connection, guest) -> {
-            double age = now - guest.sinceMs;
-            boolean late = switch (guest.state) {
-                case SILENT -> age >= ARRIVE_MS && quiet(guest);
+        clients.forEach((connection, client) -> {
+            double age = now - client.sinceMs;
+            boolean late = switch (client.state) {
+                case SILENT -> age >= ARRIVE_MS && quiet(client);
                 case ARRIVING -> age >= ARRIVE_MS || drain.isRefusingIncomplete();
-                case IDLE -> age >= LONG_IDLE_MS && quiet(guest);
+                case IDLE -> age >= LONG_IDLE_MS && quiet(client);
                 case PARTING -> age >= PARTING_MS;
                 default -> false;
             };
             if (late) ended.add(connection);
         });
-        ended.forEach(this::turnOut);
+        ended.forEach(this::evict);
         end(State.PARTING, 0, now);
-        end(State.IDLE, guests.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
+        end(State.IDLE, clients.size() >= most - most / FULL_PART ? SILENT_MS : IDLE_MS, now);
         end(State.SILENT, SILENT_MS, now);
-        looking = !guests.isEmpty();
-        if (looking) loop.at(now + LOOK_MS, this::look);
+        sweeping = !clients.isEmpty();
+        if (sweeping) loop.at(now + SWEEP_MS, this::sweep);
     }
 
-    private void turnOut(StreamConnection connection) {
-        Guest guest = guests.get(connection);
-        if (guest.state == State.ARRIVING) {
+    private void evict(StreamConnection connection) {
+        ClientConnection client = clients.get(connection);
+        if (client.state == State.ARRIVING) {
             try {
                 boolean draining = drain.isRefusingIncomplete();
                 connection.getSinkChannel().write(ByteBuffer.wrap(draining ? DRAINING : TOO_LATE));
-                count(
+                metrics.count(
                         draining
                                 ? EventCount.CONNECTIONS_CLOSED_DRAINING
                                 : EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT);
-                part(connection, guest);
+                part(connection, client);
                 return;
             } catch (IOException e) {
                 LOG.debug("a client's connection failed", e); // it is ended next
             }
         }
-        count(
-                guest.state == State.PARTING
+        metrics.count(
+                client.state == State.PARTING
                         ? EventCount.CONNECTIONS_CLOSED_AFTER_ANSWER
                         : EventCount.CONNECTIONS_CLOSED_IDLE);
-        guests.remove(connection);
+        clients.remove(connection);
         IoUtils.safeClose(connection);
     }
 
-    private void count(EventCount closed) {
-        metrics.count(closed);
-    }
-
     /** Ends our side; what still comes is thrown away, so that no reset takes the answer with it. */
-    private void part(StreamConnection connection, Guest guest) throws IOException {
+    private void part(StreamConnection connection, ClientConnection client) throws IOException {
         connection.getSinkChannel().shutdownWrites();
         connection.getSinkChannel().flush();
-        guest.state = State.PARTING;
-        guest.sinceMs = loop.nowMs();
-        guest.ahead.discard();
+        client.state = State.PARTING;
+        client.sinceMs = loop.nowMs();
+        client.readAhead.discard();
     }
 
     /** While room is short, ends those that have been in a state for the longest. */
     private void end(State state, double leastMs, double now) {
-        int over = guests.size() - (most - most / ROOM_PART);
+        int over = clients.size() - (most - most / ROOM_PART);
         if (over <= 0) return;
-        guests.entrySet().stream()
+        clients.entrySet().stream()
                 .filter(e -> e.getValue().state == state && now - e.getValue().sinceMs >= leastMs)
                 .sorted((a, b) -> Double.compare(a.getValue().sinceMs, b.getValue().sinceMs))
                 .filter(e -> quiet(e.getValue()))
@@ -229,15 +232,15 @@
                 .toList()
                 .forEach(connection -> {
                     metrics.count(EventCount.CONNECTIONS_CLOSED_FOR_ROOM);
-                    turnOut(connection);
+                    evict(connection);
                 });
     }
 
     /** Ends the connections on which nothing is open or on its way, for a program that is about to stop. */
     public void closeIdle() {
         List<StreamConnection> idle = new ArrayList<>();
-        guests.forEach((connection, guest) -> {
-            if ((guest.state == State.IDLE || guest.state == State.SILENT) && quiet(guest)) idle.add(connection);
+        clients.forEach((connection, client) -> {
+            if ((client.state == State.IDLE || client.state == State.SILENT) && quiet(client)) idle.add(connection);
         });
         idle.forEach(connection -> {
             metrics.count(EventCount.CONNECTIONS_CLOSED_DRAINING);
@@ -247,39 +250,39 @@
 
     /** Ends all connections: the worker's end alone would leave them open. */
     public void close() {
-        List.copyOf(guests.keySet()).forEach(IoUtils::safeClose);
+        List.copyOf(clients.keySet()).forEach(IoUtils::safeClose);
     }
 
     /** A connection that another process goes on with: it is not ended with the others here. */
     public void forget(StreamConnection connection) {
-        guests.remove(connection);
+        clients.remove(connection);
     }
 
     /** A connection whose answer another process began and this one goes on with. */
     public AdoptedConnection adopt(StreamConnection connection) {
-        Guest guest = open(connection, State.OPEN);
-        return new AdoptedConnection(connection, guest.ahead, this);
+        ClientConnection client = open(connection, State.OPEN);
+        return new AdoptedConnection(connection, client.readAhead, this);
     }
 
     /** The answer that another process began has ended: its connection is idle, as after any answer, or ends. */
     void finish(StreamConnection connection, boolean closes) {
-        Guest guest = guests.get(connection);
-        if (guest == null || guest.ahead.ended()) {
+        ClientConnection client = clients.get(connection);
+        if (client == null || client.readAhead.ended()) {
             IoUtils.safeClose(connection);
-        } else if (closes || drain.isSendingAway() && !guest.ahead.holds()) {
-            endAdopted(connection, guest);
+        } else if (closes || drain.isSendingAway() && !client.readAhead.holds()) {
+            endAdopted(connection, client);
         } else {
-            guest.state = guest.ahead.holds() ? State.ARRIVING : State.IDLE;
-            guest.sinceMs = loop.nowMs();
+            client.state = client.readAhead.holds() ? State.ARRIVING : State.IDLE;
+            client.sinceMs = loop.nowMs();
             next.handleEvent(connection);
         }
     }
 
-    private void endAdopted(StreamConnection connection, Guest guest) {
+    private void endAdopted(StreamConnection connection, ClientConnection client) {
         try {
-            part(connection, guest);
+            part(connection, client);
             connection.getSourceChannel().setReadListener(source -> {
-                if (guest.ahead.ended()) IoUtils.safeClose(connection);
+                if (client.readAhead.ended()) IoUtils.safeClose(connection);
             });
             connection.getSourceChannel().resumeReads();
         } catch (IOException e) {
@@ -290,7 +293,7 @@
 
     /** Connections on which a request is open or on its way. */
     public int busy() {
-        return (int) guests.entrySet().stream()
+        return (int) clients.entrySet().stream()
                 .filter(e -> e.getKey().isOpen()
                         && (e.getValue().state == State.OPEN || e.getValue().state == State.ARRIVING))
                 .count();
@@ -298,6 +301,6 @@
 
     /** Connections in all. */
     public int connections() {
-        return (int) guests.keySet().stream().filter(StreamConnection::isOpen).count();
+        return (int) clients.keySet().stream().filter(StreamConnection::isOpen).count();
     }
 }
--- a/src/main/java/maplerail/front/Departure.java
+++ b/src/main/java/maplerail/front/DisconnectDetector.java
@@ -5,15 +5,15 @@
 import java.util.function.BooleanSupplier;
 
 /** Notices that a client leaves while it waits for its answer: it has ended its side, whatever it sent before. */
-public final class Departure {
-    private Departure() {}
+public final class DisconnectDetector {
+    private DisconnectDetector() {}
 
     /**
      * Between a request and its answer nothing is read from a client, so nobody would see it leave: looks for the end
      * of its side until {@code over}.
      */
     public static void watch(HttpServerExchange exchange, BooleanSupplier over, Runnable left) {
-        LookAhead ahead = ahead(exchange);
+        ReadAheadConduit ahead = ahead(exchange);
         if (ahead == null) return;
         ((HttpServerConnection) exchange.getConnection())
                 .getChannel()
@@ -34,19 +34,19 @@
 
     /** The same for the client of a connection that goes on as something else, for as long as it lasts. */
     public static BooleanSupplier of(HttpServerExchange exchange) {
-        LookAhead ahead = ahead(exchange);
+        ReadAheadConduit ahead = ahead(exchange);
         return ahead == null ? () -> false : ahead::ended;
     }
 
     /** True if something has come behind the request that nobody has read. */
     public static boolean early(HttpServerExchange exchange) {
-        LookAhead ahead = ahead(exchange);
+        ReadAheadConduit ahead = ahead(exchange);
         return ahead != null && ahead.holds();
     }
 
-    private static LookAhead ahead(HttpServerExchange exchange) {
+    private static ReadAheadConduit ahead(HttpServerExchange exchange) {
         return exchange.getConnection() instanceof HttpServerConnection connection
-                        && connection.getOriginalSourceConduit() instanceof LookAhead ahead
+                        && connection.getOriginalSourceConduit() instanceof ReadAheadConduit ahead
                 ? ahead
                 : null;
     }
--- a/src/main/java/maplerail/front/LookAhead.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -13,7 +13,7 @@
  * What a client sends, which can be looked at before anybody reads it. Guards against a client whose end nobody sees
  * because bytes that it sent before lie in front of it, or because the loop has yet to come to it.
  */
-final class LookAhead extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ReadAheadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final int MOST = 64 * 1024; // bytes kept for whoever reads them; what is behind waits at its sender
     private static final int PIECE = 1024;
     private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
@@ -24,7 +24,7 @@
     private boolean discarding;
 
     /** {@code came} hears of each piece that is read. */
-    LookAhead(StreamSourceConduit from, Runnable came) {
+    ReadAheadConduit(StreamSourceConduit from, Runnable came) {
         super(from);
         this.came = came;
     }
--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
-import maplerail.front.Departure;
+import maplerail.front.DisconnectDetector;
 import maplerail.rpc.Replay;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -130,7 +130,7 @@
 
     @Override
     public void look() {
-        if (out != null && Departure.gone(out.exchange)) out.left();
+        if (out != null && DisconnectDetector.gone(out.exchange)) out.left();
     }
 
     /** One connection that the stream goes out on. */
@@ -144,7 +144,7 @@
 
         Out(HttpServerExchange exchange) {
             this.exchange = exchange;
-            Departure.watch(exchange, () -> over, this::left);
+            DisconnectDetector.watch(exchange, () -> over, this::left);
         }
 
         void reply(String text) {
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -18,8 +18,8 @@
 import java.util.UUID;
 import maplerail.config.ToolsConfig;
 import maplerail.core.EventLoop;
-import maplerail.front.Departure;
-import maplerail.front.Door;
+import maplerail.front.ConnectionManager;
+import maplerail.front.DisconnectDetector;
 import maplerail.rpc.Replay;
 import maplerail.rpc.SessionState;
 import org.xnio.IoUtils;
@@ -101,15 +101,15 @@
         this.mostBytes = mostBytes;
     }
 
-    void handle(HttpServerExchange exchange, int team, Door door) {
+    void handle(HttpServerExchange exchange, int team, ConnectionManager connections) {
         if (exchange.getRequestMethod().equals(Methods.POST)) {
             exchange.setMaxEntitySize(mostBytes);
             exchange.getRequestReceiver()
                     .receiveFullBytes(
                             (whole, body) -> whole.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                                door.open(whole);
+                                connections.onRequestComplete(whole);
                                 // Guards against work for a client that went while its messages waited for their turn.
-                                if (Departure.gone(whole)) IoUtils.safeClose(whole.getConnection());
+                                if (DisconnectDetector.gone(whole)) IoUtils.safeClose(whole.getConnection());
                                 else post(whole, team, body);
                             }),
                             (broken, error) -> {
@@ -121,7 +121,7 @@
             Kept kept = find(exchange, team);
             if (kept != null) {
                 exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                    door.open(exchange);
+                    connections.onRequestComplete(exchange);
                     resume(exchange, kept);
                 });
             }
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -24,8 +24,8 @@
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.core.RequestHandle;
-import maplerail.front.Departure;
-import maplerail.front.Door;
+import maplerail.front.ConnectionManager;
+import maplerail.front.DisconnectDetector;
 import org.xnio.IoUtils;
 
 /**
@@ -44,7 +44,7 @@
     private final Map<WebSocketChannel, Listening> channels = new HashMap<>();
     private final EventLoop loop;
     private boolean taking = true;
-    private Door door;
+    private ConnectionManager connections;
 
     /** Makes a front before the platform's broker and one broker for each service of tools. */
     public RpcFront(
@@ -67,14 +67,14 @@
         answers.retune(names);
     }
 
-    /** Tells through which door the clients come. */
-    public void at(Door in) {
-        door = in;
+    /** Sets what manages the connections of its clients. */
+    public void setConnections(ConnectionManager manager) {
+        connections = manager;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) throws Exception {
-        door.entered(exchange);
+        connections.onRequestHead(exchange);
         String owner = exchange.getRequestHeaders().getFirst("Req-Owner");
         int team = config.teams().stream().map(ToolsConfig.Team::name).toList().indexOf(owner);
         if (!exchange.getRequestPath().equals(config.path())) {
@@ -84,11 +84,11 @@
         } else if (!open()) {
             exchange.setStatusCode(503).endExchange();
         } else if (!exchange.getRequestHeaders().contains(Headers.UPGRADE)) {
-            http.handle(exchange, team, door);
+            http.handle(exchange, team, connections);
         } else {
-            BooleanSupplier gone = Departure.of(exchange);
+            BooleanSupplier gone = DisconnectDetector.of(exchange);
             WebSocketConnectionCallback opened = (upgraded, channel) -> open(channel, team, gone);
-            door.keep(exchange); // a session may be quiet for as long as its client likes
+            connections.onUpgraded(exchange); // a session may be quiet for as long as its client likes
             new WebSocketProtocolHandshakeHandler(opened).handleRequest(exchange);
         }
     }
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -11,8 +11,8 @@
 import maplerail.core.InferenceRequest;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.front.Departure;
-import maplerail.front.Door;
+import maplerail.front.ConnectionManager;
+import maplerail.front.DisconnectDetector;
 import org.xnio.IoUtils;
 
 /** The platform's protocol before the broker: readiness, and one request for each exchange. */
@@ -23,7 +23,7 @@
     private final Broker broker;
     private RequestReader reader;
     private final Lifecycle lifecycle;
-    private Door door;
+    private ConnectionManager connections;
 
     /** Makes a front for clients that name classes and tenants so. */
     public PlatformFront(Broker broker, Names names, Lifecycle lifecycle) {
@@ -37,16 +37,16 @@
         reader = new RequestReader(names);
     }
 
-    /** Tells through which door the clients come. */
-    public void at(Door in) {
-        door = in;
+    /** Sets what manages the connections of its clients. */
+    public void setConnections(ConnectionManager manager) {
+        connections = manager;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
-        door.entered(exchange);
-        Answer answer = new Answer(exchange);
+        connections.onRequestHead(exchange);
+        PlatformResponse answer = new PlatformResponse(exchange);
         if (exchange.getRequestURI().equals("/-/ready")) {
             answer.say(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
@@ -70,9 +70,9 @@
         }
     }
 
-    private void take(HttpServerExchange exchange, Answer answer, byte[] body) {
-        door.open(exchange);
-        if (Departure.gone(exchange)) {
+    private void take(HttpServerExchange exchange, PlatformResponse answer, byte[] body) {
+        connections.onRequestComplete(exchange);
+        if (DisconnectDetector.gone(exchange)) {
             // Guards against work for a client that went while its request waited for its turn on the loop.
             IoUtils.safeClose(exchange.getConnection());
             return;
--- a/src/main/java/maplerail/front/platform/Answer.java
+++ b/src/main/java/maplerail/front/platform/PlatformResponse.java
@@ -10,15 +10,15 @@
 import java.util.Optional;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
-import maplerail.front.Departure;
+import maplerail.front.DisconnectDetector;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /** A client's open request: relays a stream to it as it comes, or words the one final answer. */
-final class Answer implements ResponseObserver {
-    private static final Logger LOG = LoggerFactory.getLogger(Answer.class);
+final class PlatformResponse implements ResponseObserver {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformResponse.class);
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
 
     private final HttpServerExchange exchange;
@@ -31,18 +31,18 @@
     private boolean over;
 
     /** The answer of an exchange. */
-    Answer(HttpServerExchange exchange) {
+    PlatformResponse(HttpServerExchange exchange) {
         this.exchange = exchange;
     }
 
     void hold(RequestHandle held) {
         ticket = held;
-        if (!over) Departure.watch(exchange, this::over, this::left);
+        if (!over) DisconnectDetector.watch(exchange, this::over, this::left);
     }
 
     @Override
     public boolean isConnected() {
-        return !Departure.gone(exchange);
+        return !DisconnectDetector.gone(exchange);
     }
 
     boolean over() {
@@ -151,7 +151,7 @@
                 || !exchange.isHttp11()
                 || !(exchange.getConnection() instanceof HttpServerConnection http)
                 || http.getExtraBytes() != null
-                || Departure.early(exchange)) {
+                || DisconnectDetector.early(exchange)) {
             return Optional.empty();
         }
         try {
@@ -168,7 +168,7 @@
         http.getOriginalSourceConduit().suspendReads();
         boolean closes = !exchange.isPersistent()
                 || "close".equals(exchange.getResponseHeaders().getFirst(Headers.CONNECTION));
-        return Optional.of(new ContinuedAnswer.Held(http.getChannel(), closes));
+        return Optional.of(new ResumedResponse.Held(http.getChannel(), closes));
     }
 
     @Override
--- a/src/main/java/maplerail/front/platform/ContinuedAnswer.java
+++ b/src/main/java/maplerail/front/platform/ResumedResponse.java
@@ -15,7 +15,7 @@
  * A client whose answer was begun by another process: gets the rest of the chunks of a body whose head it has (RFC 9112,
  * 7.1). After a whole answer its connection goes on to whoever takes new ones, unless the client was told otherwise.
  */
-public final class ContinuedAnswer implements ResponseObserver {
+public final class ResumedResponse implements ResponseObserver {
     private static final int MOST_WAITING = 64 * 1024; // bytes that the client has not taken yet
     private static final byte[] LAST = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -30,7 +30,7 @@
     private boolean over;
 
     /** The client of a connection, which was told that it ends with this answer if {@code closes}. */
-    public ContinuedAnswer(StreamConnection connection, boolean closes, AdoptedConnection client) {
+    public ResumedResponse(StreamConnection connection, boolean closes, AdoptedConnection client) {
         this.connection = connection;
         this.closes = closes;
         this.client = client;
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -23,7 +23,7 @@
     private ByteBuffer bytes; // null until there is a connection
     private final Reply reply;
     private final AnswerReader reader;
-    private Link link;
+    private PooledConnection link;
     private Runnable disconnect;
     private EventLoop.Timer limit;
     private boolean wrote;
@@ -100,7 +100,7 @@
     /** Gives the connection up as it is, between two events; the reply hears nothing more. */
     public Held handOn() {
         if (!between()) throw new IllegalStateException("not between two events");
-        Link used = link;
+        PooledConnection used = link;
         link = null;
         finish();
         used.connection.getSourceChannel().suspendReads();
@@ -158,7 +158,7 @@
         return !done && link == null;
     }
 
-    void on(Link to) {
+    void on(PooledConnection to) {
         calm();
         disconnect = null;
         link = to;
@@ -233,7 +233,7 @@
 
     /** The answer is whole; a connection on which more came, or not all was written, is of no further use. */
     private void end(boolean clean) {
-        Link used = link;
+        PooledConnection used = link;
         boolean again = clean && reader.keepAlive() && !bytes.hasRemaining();
         if (again) link = null;
         finish();
--- a/src/main/java/maplerail/net/Sent.java
+++ b/src/main/java/maplerail/net/EngineAttempt.java
@@ -3,7 +3,7 @@
 import maplerail.core.AttemptHandle;
 
 /** A {@link Call} as the core sees it. */
-record Sent(Call call) implements AttemptHandle {
+record EngineAttempt(Call call) implements AttemptHandle {
     @Override
     public boolean isUnsent() {
         return call.unsent();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -115,7 +115,7 @@
                 headers.put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
             }
         });
-        return new Sent(call);
+        return new EngineAttempt(call);
     }
 
     /** Goes on with an engine's stream that another process began, from between two events. */
@@ -123,7 +123,7 @@
         Incoming incoming = new Incoming(answer);
         incoming.meaning = AttemptOutcome.COMPLETED;
         incoming.framed = true;
-        return new Sent(pool.adopt(to, connection, incoming));
+        return new EngineAttempt(pool.adopt(to, connection, incoming));
     }
 
     /** An engine's answer, told as an outcome. */
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -37,10 +37,10 @@
     private double retireMs;
     private double connectMs;
     private final int most;
-    private final Map<InetSocketAddress, ArrayDeque<Link>> idle = new HashMap<>();
+    private final Map<InetSocketAddress, ArrayDeque<PooledConnection>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> connecting = new HashMap<>();
     private final Map<InetSocketAddress, ArrayDeque<Call>> queued = new HashMap<>();
-    private final Set<Link> links = new HashSet<>();
+    private final Set<PooledConnection> links = new HashSet<>();
     private int connectingInAll;
     private long lastNumber;
     private boolean sweeping;
@@ -89,8 +89,8 @@
 
     /** Closes the connections there on which nothing is asked: they may have fallen silent with no error. */
     void closeIdle(InetSocketAddress to) {
-        ArrayDeque<Link> kept = idle.remove(to);
-        if (kept != null) kept.forEach(Link::close);
+        ArrayDeque<PooledConnection> kept = idle.remove(to);
+        if (kept != null) kept.forEach(PooledConnection::close);
     }
 
     private void waitForConnection(InetSocketAddress to, ClientRequest request, Call call) {
@@ -102,7 +102,7 @@
     }
 
     private boolean begin(InetSocketAddress to, Call call) {
-        Link ready = fresh(to);
+        PooledConnection ready = fresh(to);
         if (ready != null) {
             call.on(ready);
         } else if (!mayConnect(to)) {
@@ -149,11 +149,11 @@
     }
 
     /** The last one used that has been quiet since; a second answer right behind the first must not meet a request. */
-    private Link fresh(InetSocketAddress to) {
-        ArrayDeque<Link> kept = idle.get(to);
+    private PooledConnection fresh(InetSocketAddress to) {
+        ArrayDeque<PooledConnection> kept = idle.get(to);
         if (kept == null) return null;
-        for (Iterator<Link> last = kept.descendingIterator(); last.hasNext(); ) {
-            Link link = last.next();
+        for (Iterator<PooledConnection> last = kept.descendingIterator(); last.hasNext(); ) {
+            PooledConnection link = last.next();
             double age = loop.nowMs() - link.idleSinceMs;
             if (age < settleMs && link.open()) continue;
             last.remove();
@@ -166,7 +166,7 @@
     /** Guards against more connections than the descriptors allow: the one idle for the longest makes room. */
     private boolean room() {
         if (links.size() + connectingInAll < most) return true;
-        ArrayDeque<Link> oldest = idle.values().stream()
+        ArrayDeque<PooledConnection> oldest = idle.values().stream()
                 .filter(kept -> !kept.isEmpty())
                 .min(Comparator.comparingDouble(kept -> kept.peekFirst().idleSinceMs))
                 .orElse(null);
@@ -202,15 +202,15 @@
             next(to);
             return;
         }
-        Link link = own(to, connection);
+        PooledConnection link = own(to, connection);
         beforeUse.run();
         if (call.wanted()) call.on(link);
         else keep(link);
         next(to);
     }
 
-    private Link own(InetSocketAddress to, StreamConnection connection) {
-        Link link = new Link(++lastNumber, to, connection);
+    private PooledConnection own(InetSocketAddress to, StreamConnection connection) {
+        PooledConnection link = new PooledConnection(++lastNumber, to, connection);
         links.add(link);
         connection.getCloseSetter().set(closed -> {
             links.remove(link);
@@ -228,12 +228,12 @@
     }
 
     /** A connection that is somebody else's from now on. */
-    void forget(Link link) {
+    void forget(PooledConnection link) {
         links.remove(link);
         link.connection.getCloseSetter().set(null);
     }
 
-    void keep(Link link) {
+    void keep(PooledConnection link) {
         link.idle(loop.nowMs());
         idle.computeIfAbsent(link.to, t -> new ArrayDeque<>()).addLast(link);
         if (queued.containsKey(link.to)) loop.at(loop.nowMs() + settleMs, () -> next(link.to));
@@ -243,7 +243,7 @@
 
     /** Guards against a write on a connection that its far side is about to close: that ends as a reset. */
     private void sweep() {
-        for (ArrayDeque<Link> kept : idle.values()) {
+        for (ArrayDeque<PooledConnection> kept : idle.values()) {
             kept.removeIf(link -> {
                 boolean old = !link.open() || loop.nowMs() - link.idleSinceMs >= retireMs;
                 if (old) link.close();
@@ -258,8 +258,8 @@
 
     /** When the connection there that is idle and was used last became so: an answer came then; long ago if there is none. */
     double idleSinceMs(InetSocketAddress to) {
-        ArrayDeque<Link> kept = idle.get(to);
-        Link last = kept == null ? null : kept.peekLast();
+        ArrayDeque<PooledConnection> kept = idle.get(to);
+        PooledConnection last = kept == null ? null : kept.peekLast();
         return last != null && last.open() ? last.idleSinceMs : Double.NEGATIVE_INFINITY;
     }
 
--- a/src/main/java/maplerail/net/Link.java
+++ b/src/main/java/maplerail/net/PooledConnection.java
@@ -7,7 +7,7 @@
 import org.xnio.StreamConnection;
 
 /** An open connection of a {@link Pool}; one call has it at a time, or none. */
-final class Link {
+final class PooledConnection {
     final InetSocketAddress to;
     final StreamConnection connection;
     double idleSinceMs;
@@ -15,7 +15,7 @@
     private int uses;
 
     /** {@code number} names it in the log, together with its use. */
-    Link(long number, InetSocketAddress to, StreamConnection connection) {
+    PooledConnection(long number, InetSocketAddress to, StreamConnection connection) {
         this.number = number;
         this.to = to;
         this.connection = connection;
--- a/src/main/java/maplerail/server/FrontListener.java
+++ b/src/main/java/maplerail/server/FrontListener.java
@@ -10,8 +10,8 @@
 import java.util.function.Consumer;
 import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
-import maplerail.front.Door;
-import maplerail.front.Turnstile;
+import maplerail.front.AcceptThrottle;
+import maplerail.front.ConnectionManager;
 import maplerail.metrics.Metrics;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
@@ -26,8 +26,8 @@
     private static final int BACKLOG = 1_024;
 
     private final AcceptingChannel<StreamConnection> channel;
-    private final Door connections;
-    private final Turnstile throttle;
+    private final ConnectionManager connections;
+    private final AcceptThrottle throttle;
 
     /** Opens a listening socket. */
     @FunctionalInterface
@@ -37,7 +37,8 @@
                 ChannelListener<AcceptingChannel<StreamConnection>> onAccept, OptionMap options) throws IOException;
     }
 
-    private FrontListener(AcceptingChannel<StreamConnection> channel, Door connections, Turnstile throttle) {
+    private FrontListener(
+            AcceptingChannel<StreamConnection> channel, ConnectionManager connections, AcceptThrottle throttle) {
         this.channel = channel;
         this.connections = connections;
         this.throttle = throttle;
@@ -55,7 +56,7 @@
             int maxConnections,
             DrainSchedule drain,
             Metrics metrics,
-            Consumer<Door> attach,
+            Consumer<ConnectionManager> attach,
             SocketOpener opener)
             throws IOException {
         HttpOpenListener http = new HttpOpenListener(
@@ -66,7 +67,7 @@
                         .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                         .getMap());
         http.setRootHandler(handler);
-        Door connections = new Door(http, loop, maxConnections, drain, metrics);
+        ConnectionManager connections = new ConnectionManager(http, loop, maxConnections, drain, metrics);
         attach.accept(connections);
         OptionMap options = OptionMap.builder()
                 .set(Options.BACKLOG, BACKLOG)
@@ -74,7 +75,7 @@
                 .set(Options.CONNECTION_HIGH_WATER, maxConnections)
                 .set(Options.CONNECTION_LOW_WATER, maxConnections - 1)
                 .getMap();
-        Turnstile throttle = new Turnstile(connections, loop);
+        AcceptThrottle throttle = new AcceptThrottle(connections, loop);
         AcceptingChannel<StreamConnection> channel = opener.open(throttle, options);
         channel.resumeAccepts();
         return new FrontListener(channel, connections, throttle);
@@ -85,7 +86,7 @@
     }
 
     /** The connections of its clients. */
-    Door connections() {
+    ConnectionManager connections() {
         return connections;
     }
 
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -252,7 +252,7 @@
                     descriptors.platformClients(),
                     drainSchedule,
                     metrics,
-                    platform::at,
+                    platform::setConnections,
                     this::openPlatformSocket);
             if (tools.isPresent()) tools.get().listen();
             if (config.inherited()) migration = sharedFolder.map(this::createMigration);
--- a/src/main/java/maplerail/server/StreamMigration.java
+++ b/src/main/java/maplerail/server/StreamMigration.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import maplerail.core.Broker;
 import maplerail.core.DetachedStream;
-import maplerail.front.Door;
-import maplerail.front.platform.ContinuedAnswer;
+import maplerail.front.ConnectionManager;
+import maplerail.front.platform.ResumedResponse;
 import maplerail.metrics.Metrics;
 import maplerail.migration.DescriptorChannel;
 import maplerail.migration.MigratedStream;
@@ -49,7 +49,7 @@
     private final XnioLoop loop;
     private final Broker broker;
     private final EngineClient engines;
-    private final Door clients;
+    private final ConnectionManager clients;
     private final Metrics metrics;
     private final int maxAdopted;
     private DescriptorChannel inbox;
@@ -72,7 +72,7 @@
             XnioLoop loop,
             Broker broker,
             EngineClient engines,
-            Door clients,
+            ConnectionManager clients,
             Metrics metrics,
             int maxAdopted) {
         this.folder = folder;
@@ -133,7 +133,7 @@
             LOG.warn("stream not adopted request={} error={}", stream.requestId(), e.toString());
             return false;
         }
-        ContinuedAnswer answer = new ContinuedAnswer(toClient, stream.closes(), clients.adopt(toClient));
+        ResumedResponse answer = new ResumedResponse(toClient, stream.closes(), clients.adopt(toClient));
         answer.hold(broker.adoptStream(
                 stream.requestClass(),
                 stream.requestId(),
@@ -244,7 +244,7 @@
     }
 
     private static StreamConnection connection(Object detached) {
-        return detached instanceof ContinuedAnswer.Held client
+        return detached instanceof ResumedResponse.Held client
                 ? client.connection()
                 : ((Call.Held) detached).connection();
     }
@@ -264,7 +264,7 @@
     }
 
     private static MigratedStream describe(DetachedStream stream) throws IOException {
-        ContinuedAnswer.Held client = (ContinuedAnswer.Held) stream.clientConnection();
+        ResumedResponse.Held client = (ResumedResponse.Held) stream.clientConnection();
         return new MigratedStream(
                 stream.requestClass(),
                 stream.requestId(),
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -62,7 +62,7 @@
                 descriptors.toolClients(),
                 drain,
                 metrics,
-                front::at,
+                front::setConnections,
                 (onAccept, options) -> worker.createStreamConnectionServer(config.listen(), onAccept, options));
     }
 
--- a/src/test/java/maplerail/front/DoorTest.java
+++ b/src/test/java/maplerail/front/ConnectionManagerTest.java
@@ -31,7 +31,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
-class DoorTest {
+class ConnectionManagerTest {
     private static final int LIMIT_MS = 20_000; // ends a test that would never end
     private static final String READY = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -79,13 +79,14 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         HttpOpenListener http = new HttpOpenListener(new DefaultByteBufferPool(true, 8_192), OptionMap.EMPTY);
-        Door door = new Door(http, loop, 100, new DrainSchedule(new Lifecycle(), loop), new Metrics());
+        ConnectionManager connections =
+                new ConnectionManager(http, loop, 100, new DrainSchedule(new Lifecycle(), loop), new Metrics());
         http.setRootHandler(exchange -> {
-            door.entered(exchange);
+            connections.onRequestHead(exchange);
             exchange.getResponseSender().send("answer");
         });
         try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
-                new InetSocketAddress("127.0.0.1", 0), new Turnstile(door, loop), OptionMap.EMPTY)) {
+                new InetSocketAddress("127.0.0.1", 0), new AcceptThrottle(connections, loop), OptionMap.EMPTY)) {
             server.resumeAccepts();
             InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
             for (int answered = 0; answered < 2; answered++) { // one that rests, and one that is new
@@ -96,15 +97,15 @@
                     if (answered == 0) {
                         client.getOutputStream().write(READY.getBytes(StandardCharsets.UTF_8));
                         assertThat(client.getInputStream().read()).isEqualTo('H');
-                        World.await("it rests", () -> door.busy() == 0);
-                    } else World.await("it is let in", () -> door.connections() == 1);
+                        World.await("it rests", () -> connections.busy() == 0);
+                    } else World.await("it is let in", () -> connections.connections() == 1);
                     loop.execute(() -> {
                         try {
                             written.await();
                         } catch (InterruptedException e) {
                             throw new IllegalStateException(e);
                         }
-                        door.closeIdle();
+                        connections.closeIdle();
                         closed.countDown();
                     });
                     client.getOutputStream()
@@ -116,7 +117,7 @@
                             .contains("HTTP/1.1 200")
                             .endsWith("answer");
                 }
-                World.await("it is gone", () -> door.connections() == 0);
+                World.await("it is gone", () -> connections.connections() == 0);
             }
         } finally {
             worker.shutdownNow();
@@ -177,7 +178,7 @@
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         AtomicInteger came = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
-        Turnstile turnstile = new Turnstile(connection -> came.incrementAndGet(), loop);
+        AcceptThrottle turnstile = new AcceptThrottle(connection -> came.incrementAndGet(), loop);
         CountDownLatch crowded = new CountDownLatch(1);
         List<Socket> crowd = new ArrayList<>();
         try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
@@ -195,7 +196,7 @@
             for (int i = 0; i < 100; i++) crowd.add(new Socket(at.getAddress(), at.getPort()));
             crowded.countDown();
             World.await("all of them", () -> came.get() == 100);
-            assertThat(most.get()).isBetween(1, 3 * Turnstile.AT_ONCE);
+            assertThat(most.get()).isBetween(1, 3 * AcceptThrottle.AT_ONCE);
         } finally {
             for (Socket socket : crowd) socket.close();
             worker.shutdownNow();
@@ -231,14 +232,14 @@
             List<StreamConnection> in = new ArrayList<>();
             @SuppressWarnings("unchecked")
             AcceptingChannel<StreamConnection> listening = (AcceptingChannel<StreamConnection>) from;
-            new Turnstile(in::add, loop).handleEvent(listening);
-            assertThat(in).hasSize(Turnstile.AT_ONCE);
+            new AcceptThrottle(in::add, loop).handleEvent(listening);
+            assertThat(in).hasSize(AcceptThrottle.AT_ONCE);
             now[0] += 200;
             due.poll().run();
-            assertThat(in).as("late").hasSize(Turnstile.AT_ONCE + 1);
+            assertThat(in).as("late").hasSize(AcceptThrottle.AT_ONCE + 1);
             now[0] += 2;
             due.poll().run();
-            assertThat(in).as("in time again").hasSize(2 * Turnstile.AT_ONCE + 1);
+            assertThat(in).as("in time again").hasSize(2 * AcceptThrottle.AT_ONCE + 1);
         } finally {
             worker.shutdownNow();
         }
--- a/src/test/java/maplerail/front/DepartureTest.java
+++ b/src/test/java/maplerail/front/DisconnectDetectorTest.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A client that has left, or called its request off, gets no attempt that has not begun, at either front. */
-class DepartureTest {
+class DisconnectDetectorTest {
     private static final String TOOLS = """
             {"listen":"127.0.0.1:0","services":{"records":{"path":"/tool","servers":["%s","%s"]}},
              "contracts":{"find":{"repeat":"pure","deadline_ms":5000,"most_argument_bytes":200,"most_reply_bytes":1000}},
