Releases begin before the limit where a write is out, one for each state, with backoff

Change: a state whose write is out is released at 0.8 of the limit, as that takes nothing from a write that arrived; one release at a time for each engine and request, renewed where it is wanted again, its retries backed off to 480 ms.

--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -24,6 +24,8 @@
     final Set<Long> brokenReaders = new HashSet<>();
     /** The last time at which an engine proved that a confirmed state was held: from then on its limit runs. */
     double heldSinceMs;
+    /** When states were last released though an attempt in flight may have taken them. */
+    double releasedInUseMs = Double.NEGATIVE_INFINITY;
     /** The limit has passed since, and a release was begun. */
     boolean reservationOverdue;
     /** The same with no attempt in flight that could have taken the state: it is gone. */
--- a/src/main/java/maplerail/core/ReservationGuard.java
+++ b/src/main/java/maplerail/core/ReservationGuard.java
@@ -16,7 +16,10 @@
  * arrive loses nothing by it.
  */
 final class ReservationGuard {
-    /** Sockets allow 300 ms beyond the settings' limit; the rest is left to the release, which may have to be repeated. */
+    /** Of the limit, when a state is released that an attempt in flight may have taken: timers and calls may be late. */
+    private static final double IN_USE_SHARE = 0.8;
+
+    /** Beyond the limit, when a state is released that nothing can have taken; sockets allow 300 ms for the release's way. */
     private static final double SLACK_MS = 30;
 
     /** Timers fire on whole milliseconds. */
@@ -74,41 +77,61 @@
 
     private void checkLater(RequestRecord record) {
         if (record.possibleHolders.isEmpty()) return;
-        loop.at(loop.nowMs() + limitMs(record), () -> check(record));
+        double eventMs = loop.nowMs();
+        loop.at(eventMs + inUseLimitMs(record), () -> checkInUse(record, eventMs));
+        loop.at(eventMs + limitMs(record), () -> check(record, eventMs));
+    }
+
+    private static double inUseLimitMs(RequestRecord record) {
+        return record.terms.reservationLimitMs() * IN_USE_SHARE;
     }
 
     private static double limitMs(RequestRecord record) {
         return record.terms.reservationLimitMs() + SLACK_MS;
     }
 
-    private void check(RequestRecord record) {
-        List<Long> due = record.possibleHolders.entrySet().stream()
-                .filter(holder -> isDue(record, holder))
-                .map(Map.Entry::getKey)
-                .toList();
-        if (due.isEmpty()) return;
+    /** Releases what an attempt in flight may have taken, unless that was done since the event. */
+    private void checkInUse(RequestRecord record, double eventMs) {
+        List<Long> due = due(record, inUseLimitMs(record));
+        if (due.isEmpty() || !mayBeTaken(record) || record.releasedInUseMs > eventMs) return;
         if (record.isReading()) {
             // A release would undo the read, wherever it is; once that has ended, what is due is released.
-            loop.at(loop.nowMs() + READING_MS, () -> check(record));
+            loop.at(loop.nowMs() + READING_MS, () -> checkInUse(record, eventMs));
             return;
         }
-        boolean confirmedDue = due.stream().anyMatch(record.confirmedHolders::contains);
-        if (confirmedDue && !record.reservationOverdue) {
-            record.reservationOverdue = true;
-            events.reservationOverdue(record);
-        }
+        noteOverdue(record, due);
+        record.releasedInUseMs = loop.nowMs();
+        due.forEach(engine -> releaser.releaseInUse(record, engine));
+        if (due.stream().anyMatch(engine -> isReadLate(record, engine))) checkLater(record);
+    }
+
+    private void check(RequestRecord record, double eventMs) {
+        List<Long> due = due(record, limitMs(record));
+        if (due.isEmpty()) return;
         if (mayBeTaken(record)) {
-            due.forEach(engine -> releaser.releaseInUse(record, engine));
-            if (due.stream().anyMatch(engine -> isReadLate(record, engine))) checkLater(record);
-        } else {
-            expire(record, due, confirmedDue);
+            checkInUse(record, eventMs);
+            return;
         }
+        noteOverdue(record, due);
+        expire(record, due);
     }
 
-    private boolean isDue(RequestRecord record, Map.Entry<Long, Double> holder) {
-        boolean confirmed = record.confirmedHolders.contains(holder.getKey());
-        double sinceMs = confirmed ? record.heldSinceMs : holder.getValue();
-        return loop.nowMs() >= sinceMs + limitMs(record) - TIMER_TOLERANCE_MS;
+    private void noteOverdue(RequestRecord record, List<Long> due) {
+        if (record.reservationOverdue || due.stream().noneMatch(record.confirmedHolders::contains)) return;
+        record.reservationOverdue = true;
+        events.reservationOverdue(record);
+    }
+
+    /** The engines that have or may have held a state for so long. */
+    private List<Long> due(RequestRecord record, double limitMs) {
+        return record.possibleHolders.entrySet().stream()
+                .filter(holder -> loop.nowMs() >= heldSinceMs(record, holder) + limitMs - TIMER_TOLERANCE_MS)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private static double heldSinceMs(RequestRecord record, Map.Entry<Long, Double> holder) {
+        return record.confirmedHolders.contains(holder.getKey()) ? record.heldSinceMs : holder.getValue();
     }
 
     /** True while an attempt is in flight that may have arrived, so that its engine may have taken the state. */
@@ -123,7 +146,8 @@
     }
 
     /** Nothing can have taken the state: the writes that wait for a connection would come too late for it. */
-    private void expire(RequestRecord record, List<Long> due, boolean confirmedDue) {
+    private void expire(RequestRecord record, List<Long> due) {
+        boolean confirmedDue = due.stream().anyMatch(record.confirmedHolders::contains);
         due.forEach(engine -> releaser.release(record, engine));
         if (!confirmedDue) return;
         record.reservationExpired = true;
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -45,7 +45,10 @@
     private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
     private final Map<Long, InetSocketAddress> left = new LinkedHashMap<>();
     private final Map<Long, String> hosts = new HashMap<>(); // of both
-    private int releasing;
+    private final Map<ReleaseKey, StateRelease> releases = new HashMap<>();
+
+    /** One release at a time is enough for what an engine holds for a request. */
+    private record ReleaseKey(InetSocketAddress holder, String requestId) {}
 
     /** Makes a client that opens its connections from a pool. */
     public EngineClient(Pool pool) {
@@ -206,8 +209,16 @@
         // Any engine can release a state: one that has long left may have left it behind.
         InetSocketAddress holder = known != null || instead.isEmpty() ? known : instead.get(0);
         if (holder == null) return;
-        releasing++;
-        new StateRelease(pool, metrics, holder, instead, id, untilMs, gate, () -> releasing--).start();
+        ReleaseKey key = new ReleaseKey(holder, id);
+        StateRelease running = releases.get(key);
+        if (running != null) {
+            running.renew(untilMs);
+            return;
+        }
+        Runnable onEnded = () -> releases.remove(key);
+        StateRelease release = new StateRelease(pool, metrics, holder, instead, id, untilMs, gate, onEnded);
+        releases.put(key, release);
+        release.start();
     }
 
     /** The engines that may be asked instead of one: no suspects, and those that answered here last, come first. */
@@ -231,6 +242,6 @@
 
     /** Releases that nobody has taken yet and that still may be. */
     public int releasing() {
-        return releasing;
+        return releases.size();
     }
 }
--- a/src/main/java/maplerail/net/StateRelease.java
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -22,7 +22,8 @@
  */
 final class StateRelease {
     private static final Logger LOG = LoggerFactory.getLogger(StateRelease.class);
-    private static final double RETRY_MS = 60; // after a call that failed
+    private static final double RETRY_MS = 60; // after a call that failed, at first; doubled each time
+    private static final double MAX_RETRY_MS = 480;
     private static final double SILENT_MS = 150; // after which a call without an answer is given up and made again
     private static final double UNANSWERED_MS = 60; // after which others are asked too, a few at a time
     private static final int OTHERS_AT_ONCE = 2;
@@ -33,10 +34,12 @@
     private final InetSocketAddress holder;
     private final ArrayDeque<InetSocketAddress> others;
     private final String requestId;
-    private final double untilMs;
     private final ReleaseGate gate;
     private final Runnable onEnded;
     private final Set<ReleaseCall> open = new HashSet<>();
+    private double untilMs;
+    private double retryMs = RETRY_MS;
+    private boolean retryPending;
     private boolean askedAnew;
     private boolean answered;
     private boolean ended;
@@ -72,17 +75,25 @@
 
     void start() {
         metrics.count(EventCount.RELEASES);
-        loop.at(untilMs, this::end);
+        loop.at(untilMs, this::checkEnd);
         call(holder, false);
         loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
     }
 
+    /** The same release is wanted again: it is made once more at once, and goes on for longer. */
+    void renew(double newUntilMs) {
+        untilMs = Math.max(untilMs, newUntilMs);
+        call(holder, askedAnew);
+    }
+
+    private void checkEnd() {
+        boolean goesOn = loop.nowMs() < untilMs || !answered && !gate.isOpen();
+        if (goesOn && !ended) loop.at(Math.max(untilMs, loop.nowMs() + SILENT_MS), this::checkEnd);
+        else end();
+    }
+
     private void end() {
         if (ended) return;
-        if (!answered && !gate.isOpen()) {
-            loop.at(loop.nowMs() + SILENT_MS, this::end);
-            return;
-        }
         ended = true;
         onEnded.run();
         if (answered) return;
@@ -90,10 +101,16 @@
         LOG.info("release unanswered request={} holder={}", requestId, holder);
     }
 
-    /** Asks its own engine again, once that harms nothing. */
-    private void askAgain() {
-        if (gate.isOpen()) call(holder, true);
-        else if (!ended) loop.at(loop.nowMs() + RETRY_MS, this::askAgain);
+    /** Asks its own engine again after a while, once that harms nothing. */
+    private void retry() {
+        if (retryPending || ended) return;
+        retryPending = true;
+        loop.at(loop.nowMs() + retryMs, () -> {
+            retryPending = false;
+            if (gate.isOpen()) call(holder, true);
+            else retry();
+        });
+        retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
     }
 
     private void call(InetSocketAddress engine, boolean newConnection) {
@@ -155,7 +172,7 @@
             call.abort();
             // What else is open there may have fallen silent in the same moment.
             pool.closeIdle(engine);
-            if (engine.equals(holder)) askAgain();
+            if (engine.equals(holder)) retry();
         }
 
         private void finish() {
@@ -181,7 +198,7 @@
         public void failed(boolean neverSent) {
             finish();
             LOG.debug("release failed request={} engine={} never_sent={}", requestId, engine, neverSent);
-            if (engine.equals(holder)) loop.at(loop.nowMs() + RETRY_MS, StateRelease.this::askAgain);
+            if (engine.equals(holder)) retry();
         }
     }
 }
