--- a/src/test/java/maplerail/incident/DrainedConnectionsIT.java
+++ b/src/test/java/maplerail/incident/DrainedConnectionsIT.java
@@ -242,7 +242,8 @@
             double sentMs = client.lastUnansweredMs() - toldMs;
             // One that crosses its connection's end is sent again by its client.
             boolean crossing = client.endedMs() < killedMs && client.endedMs() - client.lastUnansweredMs() < 20;
-            if (sentMs >= OWED_MS && !crossing) lost.add(name + " sent " + sentMs);
+            if (sentMs >= OWED_MS && !crossing)
+                lost.add(name + " sent " + sentMs + " ended " + (client.endedMs() - toldMs));
         });
         assertThat(lost).as("requests without an answer").isEmpty();
         assertThat(odd).isEmpty();
