--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -30,6 +30,9 @@
     /** From the connection's start, or its request's first byte, until the request must be whole. */
     private static final double ARRIVE_MS = 2_500;
 
+    /** The same once incomplete requests are refused: one that has come whole and waits for its turn is still read. */
+    private static final double DRAINING_ARRIVE_MS = 200;
+
     private static final double IDLE_MS = 2_000; // for which a client may rely on an idle connection
     private static final double SILENT_MS = 200; // for which a new one may be silent while room is short
     private static final double LONG_IDLE_MS = 30_000;
@@ -171,7 +174,7 @@
             double age = now - client.sinceMs;
             boolean late = switch (client.state) {
                 case SILENT -> age >= ARRIVE_MS && quiet(client);
-                case ARRIVING -> age >= ARRIVE_MS || drain.isRefusingIncomplete();
+                case ARRIVING -> age >= (drain.isRefusingIncomplete() ? DRAINING_ARRIVE_MS : ARRIVE_MS);
                 case IDLE -> age >= LONG_IDLE_MS && quiet(client);
                 case PARTING -> age >= PARTING_MS;
                 default -> false;
