--- a/src/main/java/maplerail/core/Attempt.java
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -17,6 +17,8 @@
     boolean ended;
     /** Its engine has said something of it, which proves that it arrived. */
     boolean answered;
+    /** Why the gateway ended it; null while it is in flight, or if its engine or connection ended it. */
+    AbortReason abortReason;
     /** It ended, and may have been executed. */
     boolean maybeExecuted;
 
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -93,7 +93,7 @@
         RequestRecord record = registry.find(order.requestId());
         if (record == null || order.attempt() >= record.attempts.size()) return;
         Attempt attempt = record.attempts.get(order.attempt());
-        if (record.winner != attempt) abort(attempt, AttemptOutcome.CANCELLED);
+        if (record.winner != attempt) abort(attempt, AttemptOutcome.CANCELLED, AbortReason.POLICY);
     }
 
     /** Ends a request whose client has disconnected. */
@@ -119,7 +119,7 @@
             // A copy, as the policy may answer an aborted attempt with another one of the same request.
             for (Attempt attempt : List.copyOf(record.attempts)) {
                 if (attempt.isUnsent() && !directory.isReady(attempt.engine)) {
-                    abort(attempt, AttemptOutcome.UNREACHABLE);
+                    abort(attempt, AttemptOutcome.UNREACHABLE, AbortReason.ENGINE_NOT_READY);
                 }
             }
         }
@@ -145,7 +145,7 @@
         attempt.answered = true;
         if (record.winner == null && !record.answered) beginStream(attempt);
         if (record.winner == attempt) relay.onEvent(attempt, event);
-        else abort(attempt, AttemptOutcome.CANCELLED);
+        else abort(attempt, AttemptOutcome.CANCELLED, AbortReason.ANOTHER_STREAMS);
     }
 
     private void beginStream(Attempt attempt) {
@@ -170,7 +170,7 @@
             poll(attempt);
             double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastEventMs;
             double limitMs = attempt.record.request.payload().stallTimeoutMs();
-            if (silentMs >= limitMs) abort(attempt, AttemptOutcome.RESET);
+            if (silentMs >= limitMs) abort(attempt, AttemptOutcome.RESET, AbortReason.STALLED);
             else if (!attempt.ended) watchForStall(attempt, limitMs - silentMs);
         });
     }
@@ -182,7 +182,7 @@
 
     private void onDeadline(Attempt attempt) {
         poll(attempt);
-        if (attempt.record.winner != attempt) abort(attempt, AttemptOutcome.TIMEOUT);
+        if (attempt.record.winner != attempt) abort(attempt, AttemptOutcome.TIMEOUT, AbortReason.DEADLINE);
     }
 
     /** Fails a request that no engine can use: it would use up all its attempts, and each engine would seem to fail. */
@@ -199,15 +199,19 @@
     /** Its state is being released: the policy is told what a writer would say. */
     private void endWithStateLost(Attempt attempt) {
         attempt.handle.abort();
+        attempt.abortReason = AbortReason.STATE_RELEASED;
         end(attempt, AttemptOutcome.STATE_LOST, 0);
     }
 
     private void abortAll(RequestRecord record) {
-        for (Attempt attempt : List.copyOf(record.attempts)) abort(attempt, AttemptOutcome.CANCELLED);
+        for (Attempt attempt : List.copyOf(record.attempts)) {
+            abort(attempt, AttemptOutcome.CANCELLED, AbortReason.REQUEST_ENDED);
+        }
     }
 
-    private void abort(Attempt attempt, AttemptOutcome outcome) {
+    private void abort(Attempt attempt, AttemptOutcome outcome, AbortReason reason) {
         if (attempt.ended) return;
+        attempt.abortReason = reason;
         boolean neverSent = attempt.isUnsent() && outcome == AttemptOutcome.CANCELLED;
         attempt.handle.abort();
         attempt.record.lastCancelMs = loop.nowMs();
@@ -254,7 +258,9 @@
         public boolean isWanted() {
             checkClient(attempt.record);
             // Decided while engines dropped repeats, it may have waited for a connection until they no longer do.
-            if (attempt.record.isKeyExpiredFor(attempt, loop.nowMs())) abort(attempt, AttemptOutcome.CANCELLED);
+            if (attempt.record.isKeyExpiredFor(attempt, loop.nowMs())) {
+                abort(attempt, AttemptOutcome.CANCELLED, AbortReason.KEY_EXPIRED);
+            }
             return !attempt.ended;
         }
 
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -34,12 +34,13 @@
         metrics.count(countOf(outcome));
         if (!isFailure(outcome) || !lines.admits()) return;
         line(
-                "attempt ended request=%s attempt=%d engine=%s role=%s outcome=%s elapsed_ms=%.0f streaming=%b %s",
+                "attempt ended request=%s attempt=%d engine=%s role=%s outcome=%s aborted_for=%s elapsed_ms=%.0f streaming=%b %s",
                 attempt.record.request.id(),
                 attempt.number,
                 engineNames.apply(attempt.engine),
                 attempt.readsPrompt ? "reader" : "writer",
                 outcome,
+                attempt.abortReason == null ? "none" : attempt.abortReason,
                 elapsedMs,
                 attempt.record.winner == attempt,
                 attempt.handle == null ? "" : attempt.handle.describe());
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -21,6 +21,8 @@
     RELEASES,
     RELEASE_CALLS,
     RELEASES_UNANSWERED,
+    /** Releases that were answered only after a call had gone unanswered. */
+    RELEASES_ANSWERED_LATE,
     /** Requests refused because the process sends its clients away. */
     REQUESTS_REFUSED_DRAINING,
     /** Clients' connections that the program ended, by its reason. */
--- a/src/main/java/maplerail/net/StateRelease.java
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -43,6 +43,8 @@
     private boolean askedAnew;
     private boolean answered;
     private boolean ended;
+    private double startedMs;
+    private int calls;
 
     /**
      * Creates a release; nothing is sent before {@link #start}.
@@ -75,6 +77,7 @@
 
     void start() {
         metrics.count(EventCount.RELEASES);
+        startedMs = loop.nowMs();
         loop.at(untilMs, this::checkEnd);
         call(holder, false);
         loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
@@ -98,7 +101,21 @@
         onEnded.run();
         if (answered) return;
         metrics.count(EventCount.RELEASES_UNANSWERED);
-        LOG.info("release unanswered request={} holder={}", requestId, holder);
+        LOG.info("release unanswered request={} holder={} calls={}", requestId, holder, calls);
+    }
+
+    /** A release that took more than one call is one line of the log: who answered in the end, and when. */
+    private void logFirstAnswer(InetSocketAddress engine) {
+        double afterMs = loop.nowMs() - startedMs;
+        if (afterMs < SILENT_MS) return;
+        metrics.count(EventCount.RELEASES_ANSWERED_LATE);
+        LOG.info(
+                "release answered late request={} holder={} by={} after_ms={} calls={}",
+                requestId,
+                holder,
+                engine,
+                Math.round(afterMs),
+                calls);
     }
 
     /** Asks its own engine again after a while, once that harms nothing. */
@@ -116,6 +133,7 @@
     private void call(InetSocketAddress engine, boolean newConnection) {
         if (ended) return;
         metrics.count(EventCount.RELEASE_CALLS);
+        calls++;
         ReleaseCall made = new ReleaseCall(engine);
         open.add(made);
         made.start(newConnection);
@@ -184,6 +202,7 @@
         @Override
         public void head(int status, HeaderMap headers) {
             finish();
+            if (!answered) logFirstAnswer(engine);
             answered = true;
             if (engine.equals(holder)) end();
         }
