--- a/src/main/java/maplerail/lab/FaultNet.java
+++ b/src/main/java/maplerail/lab/FaultNet.java
@@ -206,6 +206,7 @@
         private final Set<Pair> pairs = new LinkedHashSet<>();
         private volatile InetSocketAddress far;
         private volatile Fault fault = Fault.NONE;
+        private boolean resetsNew;
 
         private Link(String name, ServerSocketChannel server, InetSocketAddress far) throws IOException {
             this.name = name;
@@ -256,6 +257,18 @@
             inForce(() -> pairs.forEach(pair -> pair.silenced = true));
         }
 
+        /** On the connections that are open now, what comes from here still passes, and no answer does. */
+        public void muteOpen() {
+            LOG.info("{}: answers on open connections are lost", name);
+            inForce(() -> pairs.forEach(pair -> pair.muted = true));
+        }
+
+        /** New connections are reset from now on; those that are open stay as they are. */
+        public void resetNew() {
+            LOG.info("{}: new connections are reset", name);
+            inForce(() -> resetsNew = true);
+        }
+
         /** What is wrong with it now. */
         public Fault fault() {
             return fault;
@@ -266,7 +279,7 @@
                 near.configureBlocking(false);
                 near.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 boolean full = connections.get() >= MOST_CONNECTIONS;
-                if (full || fault.reset) {
+                if (full || resetsNew || fault.reset) {
                     count(full ? "over the limit" : "reset");
                     near.setOption(StandardSocketOptions.SO_LINGER, 0);
                     near.close();
@@ -288,6 +301,7 @@
         private final List<SocketChannel> both = new ArrayList<>();
         private boolean over;
         private boolean silenced;
+        private boolean muted;
 
         Pair(Link link, SocketChannel near, boolean lost) throws IOException {
             this.link = link;
@@ -399,7 +413,7 @@
         }
 
         private boolean silent() {
-            return pair.silenced || pair.link.fault.silent || fromFar && pair.link.fault.oneWay;
+            return pair.silenced || pair.link.fault.silent || fromFar && (pair.muted || pair.link.fault.oneWay);
         }
 
         boolean reads() {
