One owner of what engines may hold, from a read's write to its holder's answer

Cause: a read that was written counted as one that runs, for as long as it went unheard; releases waited for it, and ended when any engine had answered or a time counted from the cancellation was over, though the reader might finish the read later. Change: ReservationKeeper owns a Reservation for each engine and request (reading, held, abandoned, releasing) with one deadline each, in the place of ReservationGuard, StateReleaser and seven fields of RequestRecord. A read that should have ended is given up (UnheardReadDetector: evidence, and a budget that the reads after it, on new connections, fill or empty). What earlier reads may have left is released, and the release answered, before a further read is written. A release ends with its holder's own answer and is repeated from there; a few of many go on trying a holder that is silent (SilentHolders). Ends that nobody answers call the others again. Tests: three of BrokerTest expected that a leftover is not released before a further read, or not as a stream begins; the new ones expect that it is, and when.

--- a/src/main/java/maplerail/core/AbortReason.java
+++ b/src/main/java/maplerail/core/AbortReason.java
@@ -17,5 +17,7 @@
     /** Engines no longer drop a repeat of it. */
     KEY_EXPIRED,
     /** The state that it was to take is being released. */
-    STATE_RELEASED
+    STATE_RELEASED,
+    /** A read that should have ended was not heard of: its state may be held since. */
+    UNHEARD
 }
--- a/src/main/java/maplerail/core/Attempt.java
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -12,9 +12,11 @@
     /** Of its deadline or, once its answer streams, of the stall timeout. */
     EventLoop.Timer timeout;
 
+    private double writtenMs = Double.NaN;
     double lastEventMs;
     boolean paused;
     boolean ended;
+    double endedMs;
     /** Its engine has said something of it, which proves that it arrived. */
     boolean answered;
     /** Why the gateway ended it; null while it is in flight, or if its engine or connection ended it. */
@@ -30,6 +32,16 @@
         this.sentMs = sentMs;
     }
 
+    /** Its last byte was written to a connection, which proves no arrival. */
+    void onWritten(double nowMs) {
+        writtenMs = nowMs;
+    }
+
+    /** When its last byte was written; as long as that is not known, when it was begun. */
+    double writtenMs() {
+        return Double.isNaN(writtenMs) ? sentMs : writtenMs;
+    }
+
     boolean isInFlight() {
         return !ended;
     }
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -17,7 +17,7 @@
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final RequestRegistry registry;
-    private final ReservationGuard reservations;
+    private final ReservationKeeper reservations;
     private final ResponseRelay relay;
     private final Metrics metrics;
     private final RequestEventLog events;
@@ -31,7 +31,7 @@
             EventLoop loop,
             EngineDirectory directory,
             RequestRegistry registry,
-            StateReleaser releaser,
+            ReservationKeeper reservations,
             ResponseRelay relay,
             Metrics metrics,
             RequestEventLog events) {
@@ -39,10 +39,11 @@
         this.loop = loop;
         this.directory = directory;
         this.registry = registry;
-        this.reservations = new ReservationGuard(loop, releaser, events, this::endWithStateLost);
+        this.reservations = reservations;
         this.relay = relay;
         this.metrics = metrics;
         this.events = events;
+        reservations.connect(new UnwaitedAttempts());
     }
 
     /** Sets where events are reported; to be called once, before any other method. */
@@ -72,14 +73,27 @@
                 order.deadlineMs() > 0 ? Math.min(order.deadlineMs(), record.deadlineMs) : record.deadlineMs;
         if (!isAllowed(attempt, deadlineMs)) {
             end(attempt, AttemptOutcome.NOT_SENT, 0);
-        } else if (record.reservationExpired && !readsPrompt) {
+        } else if (record.reservations.isExpired() && !readsPrompt) {
             end(attempt, AttemptOutcome.STATE_LOST, 0);
         } else {
             attempt.timeout = loop.at(deadlineMs, () -> onDeadline(attempt));
-            attempt.handle = transport.send(order.engine(), record.request, deadlineMs, new Observer(attempt));
+            attempt.handle = new UnsentAttempt();
+            if (readsPrompt) reservations.beforeRead(record, () -> send(attempt, deadlineMs));
+            else send(attempt, deadlineMs);
         }
     }
 
+    /** Hands an attempt to the transport, unless it has ended while it waited for that. */
+    private void send(Attempt attempt, double deadlineMs) {
+        if (attempt.ended) return;
+        RequestRecord record = attempt.record;
+        // What an attempt of this request has met on a connection that was open, another may meet on the next.
+        ConnectionChoice connection = record.hasUnheardAttempt() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
+        if (attempt.readsPrompt) reservations.onReadStarted(attempt);
+        attempt.handle = transport.send(attempt.engine, record.request, deadlineMs, connection, new Observer(attempt));
+        reservations.review(record);
+    }
+
     private boolean isAllowed(Attempt attempt, double deadlineMs) {
         RequestRecord record = attempt.record;
         return !record.answered
@@ -154,9 +168,7 @@
         attempt.timeout.cancel();
         watchForStall(attempt, record.request.payload().stallTimeoutMs());
         record.deadlineTimer.cancel();
-        // The writer has taken the state; what a reader that may not have heard of its end holds later is released.
-        record.possibleHolders.keySet().removeAll(record.confirmedHolders);
-        record.confirmedHolders.clear();
+        reservations.onStreamStarted(record);
         double elapsedMs = loop.nowMs() - attempt.sentMs;
         routing.report(new RoutingEvent.FirstToken(record.number, attempt.number, attempt.engine, elapsedMs));
     }
@@ -196,13 +208,6 @@
         record.observer.onFailed(ResponseObserver.Reason.INVALID);
     }
 
-    /** Its state is being released: the policy is told what a writer would say. */
-    private void endWithStateLost(Attempt attempt) {
-        attempt.handle.abort();
-        attempt.abortReason = AbortReason.STATE_RELEASED;
-        end(attempt, AttemptOutcome.STATE_LOST, 0);
-    }
-
     private void abortAll(RequestRecord record) {
         for (Attempt attempt : List.copyOf(record.attempts)) {
             abort(attempt, AttemptOutcome.CANCELLED, AbortReason.REQUEST_ENDED);
@@ -221,6 +226,7 @@
     private void end(Attempt attempt, AttemptOutcome outcome, double cachedTokens) {
         if (attempt.ended) return;
         attempt.ended = true;
+        attempt.endedMs = loop.nowMs();
         if (attempt.timeout != null) attempt.timeout.cancel();
         events.attemptEnded(attempt, outcome, loop.nowMs() - attempt.sentMs);
         attempt.maybeExecuted = !attempt.readsPrompt && !outcome.provesNoEffect();
@@ -247,6 +253,23 @@
                 LoadReport.NONE));
     }
 
+    /** Ends what waits for a state, or for a read, that is not to be waited for. */
+    private final class UnwaitedAttempts implements ReservationKeeper.Attempts {
+        @Override
+        public void abortUnheard(Attempt read) {
+            transport.closeIdleConnections(read.engine);
+            abort(read, AttemptOutcome.CANCELLED, AbortReason.UNHEARD);
+        }
+
+        /** The policy is told what a writer would say. */
+        @Override
+        public void endWithStateLost(Attempt write) {
+            write.handle.abort();
+            write.abortReason = AbortReason.STATE_RELEASED;
+            end(write, AttemptOutcome.STATE_LOST, 0);
+        }
+    }
+
     private final class Observer implements AttemptObserver {
         private final Attempt attempt;
 
@@ -267,6 +290,8 @@
         @Override
         public void onSent() {
             metrics.sent();
+            attempt.onWritten(loop.nowMs());
+            reservations.review(attempt.record);
         }
 
         @Override
--- a/src/main/java/maplerail/core/AttemptHandle.java
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -16,6 +16,16 @@
         return "";
     }
 
+    /** When its connection was opened; before everything if that is not known. */
+    default double connectionOpenedMs() {
+        return Double.NEGATIVE_INFINITY;
+    }
+
+    /** When its connection last carried an answer before this attempt or, if it is new, was opened. */
+    default double connectionHeardMs() {
+        return Double.NEGATIVE_INFINITY;
+    }
+
     /** Stops reading the answer. */
     void pause();
 
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -37,7 +37,7 @@
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final AdmissionStage admission;
-    private final StateReleaser releaser;
+    private final ReservationKeeper reservations;
     private final RequestRegistry registry;
     private final RequestIntake intake;
     private final RoutingStage routing;
@@ -74,11 +74,11 @@
         terms = RequestTerms.of(settings, classNames, metrics);
         adoptedStreams = new AdoptedStreams(loop, metrics);
         directory = new EngineDirectory(settings.engineKinds());
-        releaser = new StateReleaser(transport, loop, directory);
-        registry = new RequestRegistry(admission, releaser, metrics);
+        reservations = new ReservationKeeper(transport, loop, directory, events);
+        registry = new RequestRegistry(admission, reservations, metrics);
         intake = new RequestIntake(loop, registry);
         relay = new ResponseRelay(registry, loop);
-        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, releaser, relay, metrics, events);
+        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, reservations, relay, metrics, events);
         routing = new RoutingStage(policy, loop, new ActionHandler(), dispatcher::settle, log);
         dispatcher.connect(routing);
     }
@@ -282,9 +282,9 @@
         return registry.size() + adoptedStreams.size();
     }
 
-    /** The number of releases that are still repeated; a process that exited now would leave states held. */
+    /** The number of releases that are not over; a process that exited now might leave states held. */
     public int pendingReleases() {
-        return releaser.pendingRepeats();
+        return reservations.pendingReleases();
     }
 
     /** Carries the policy's actions out. Endpoints are always subscribed to, so it ignores actions that ask for them. */
@@ -302,7 +302,7 @@
         @Override
         public void onReleaseState(ReleaseState order) {
             RequestRecord record = registry.find(order.requestId());
-            if (record != null) releaser.releaseUnused(record);
+            if (record != null) reservations.releaseUnused(record);
         }
 
         @Override
--- a/src/main/java/maplerail/core/ReleaseGate.java
+++ b/src/main/java/maplerail/core/ReleaseGate.java
@@ -1,13 +1,24 @@
 package maplerail.core;
 
-/** Says of a release, whenever it would be sent again, whether that is of use and harms nothing. */
+/** Says of a release, whenever it would be sent again, whether that harms nothing, and is told what becomes of it. */
 public interface ReleaseGate {
-    /** True while no read of the request is on its way: a release would undo it, at whichever engine it arrives. */
+    /** True while a release would harm nothing; it undoes reads and takes away what is held, at whichever engine it arrives. */
     boolean isOpen();
 
-    /** True while other engines may be asked: they would release whatever is held for the request, a later state too. */
-    boolean mayAskOthers();
-
     /** True for an engine that left an attempt of the request unanswered: others are asked before it. */
     boolean isSuspect(long engine);
+
+    /** On which connection the first call is made. */
+    default ConnectionChoice connection() {
+        return ConnectionChoice.ANY;
+    }
+
+    /** An engine has answered for the first time: what was held anywhere is released. */
+    default void onAnswered() {}
+
+    /** The holder itself has answered: it runs, and no read that it had ended before has left anything. */
+    default void onHolderAnswered() {}
+
+    /** The release is over; {@code holderAnswered} if that is why. */
+    default void onEnded(boolean holderAnswered) {}
 }
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -34,15 +34,15 @@
         metrics.count(countOf(outcome));
         if (!isFailure(outcome) || !lines.admits()) return;
         line(
-                "attempt ended request=%s attempt=%d engine=%s role=%s outcome=%s aborted_for=%s elapsed_ms=%.0f streaming=%b %s",
+                "attempt ended request=%s attempt=%d engine=%s role=%s outcome=%s elapsed_ms=%.0f streaming=%b aborted_for=%s %s",
                 attempt.record.request.id(),
                 attempt.number,
                 engineNames.apply(attempt.engine),
                 attempt.readsPrompt ? "reader" : "writer",
                 outcome,
-                attempt.abortReason == null ? "none" : attempt.abortReason,
                 elapsedMs,
                 attempt.record.winner == attempt,
+                attempt.abortReason == null ? "none" : attempt.abortReason,
                 attempt.handle == null ? "" : attempt.handle.describe());
     }
 
@@ -75,8 +75,8 @@
         line(
                 "reservation overdue request=%s held_ms=%.0f holders=%s in_flight=%d answered=%b streaming=%b",
                 record.request.id(),
-                loop.nowMs() - record.heldSinceMs,
-                record.possibleHolders.keySet().stream().map(engineNames::apply).toList(),
+                loop.nowMs() - record.reservations.limitFromMs(),
+                record.reservations.holders().stream().map(engineNames::apply).toList(),
                 record.attempts.stream().filter(Attempt::isInFlight).count(),
                 record.answered,
                 record.isStreaming());
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -1,12 +1,7 @@
 package maplerail.core;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 
 /** What is known of an open request: its attempts, its answer, and what engines may hold for it. */
 final class RequestRecord {
@@ -16,20 +11,12 @@
     final double deadlineMs;
     final RequestTerms terms;
     final List<Attempt> attempts = new ArrayList<>();
-    /** The engines at which a state may wait, each with the time at which its last read ended. */
-    final Map<Long, Double> possibleHolders = new LinkedHashMap<>();
-    /** Those of them that have confirmed it. */
-    final Set<Long> confirmedHolders = new LinkedHashSet<>();
-    /** Readers whose answer broke off or was malformed: they may still be reading, and were not told to stop. */
-    final Set<Long> brokenReaders = new HashSet<>();
-    /** The last time at which an engine proved that a confirmed state was held: from then on its limit runs. */
-    double heldSinceMs;
-    /** When states were last released though an attempt in flight may have taken them. */
-    double releasedInUseMs = Double.NEGATIVE_INFINITY;
-    /** The limit has passed since, and a release was begun. */
-    boolean reservationOverdue;
-    /** The same with no attempt in flight that could have taken the state: it is gone. */
-    boolean reservationExpired;
+    /** What engines hold for it; {@link ReservationKeeper} decides what becomes of that. */
+    final RequestReservations reservations = new RequestReservations();
+    /** Reads that wait until what earlier ones may have left has been released. */
+    final List<Runnable> waitingReads = new ArrayList<>();
+    /** For the next deadline of what is held. */
+    EventLoop.Timer reservationTimer = () -> {};
 
     boolean admitted;
     boolean answered;
@@ -52,13 +39,27 @@
         return attempts.stream().anyMatch(Attempt::isInFlight);
     }
 
-    boolean hasAttemptInFlightAt(long engine) {
-        return attempts.stream().anyMatch(a -> a.isInFlight() && a.engine == engine);
+    /** True if an engine has left an attempt unanswered. */
+    boolean hasUnansweredAt(long engine) {
+        return attempts.stream().anyMatch(attempt -> attempt.engine == engine && !attempt.answered);
     }
 
-    /** True while a read is in flight that may have arrived. */
-    boolean isReading() {
-        return attempts.stream().anyMatch(a -> a.readsPrompt && a.isInFlight() && !a.isUnsent());
+    /** True if an attempt was given up without a word of its engine: its connection may have been silent. */
+    boolean hasUnheardAttempt() {
+        return attempts.stream().anyMatch(RequestRecord::isUnheard);
+    }
+
+    /** True if an attempt at an engine was given up so. */
+    boolean hasUnheardAttemptAt(long engine) {
+        return attempts.stream().anyMatch(attempt -> attempt.engine == engine && isUnheard(attempt));
+    }
+
+    private static boolean isUnheard(Attempt attempt) {
+        if (!attempt.ended || attempt.answered || attempt.abortReason == null) return false;
+        return switch (attempt.abortReason) {
+            case POLICY, UNHEARD, DEADLINE -> true;
+            default -> false;
+        };
     }
 
     /** True once the answer streams and has not ended. */
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -10,15 +10,15 @@
 /** Last stage: the open requests. Sees to one final answer for each, and that nothing stays held for it anywhere. */
 final class RequestRegistry {
     private final AdmissionStage admission;
-    private final StateReleaser releaser;
+    private final ReservationKeeper reservations;
     private final Metrics metrics;
     private final Map<Long, RequestRecord> records = new HashMap<>();
     private final Map<Long, Runnable> closeActions = new HashMap<>();
     private int unanswered;
 
-    RequestRegistry(AdmissionStage admission, StateReleaser releaser, Metrics metrics) {
+    RequestRegistry(AdmissionStage admission, ReservationKeeper reservations, Metrics metrics) {
         this.admission = admission;
-        this.releaser = releaser;
+        this.reservations = reservations;
         this.metrics = metrics;
     }
 
@@ -72,8 +72,8 @@
 
     /** To be called after each end of an attempt: releases what cancelled reads left, and closes what is done. */
     void settle(RequestRecord record) {
+        reservations.review(record);
         if (record.hasAttemptInFlight()) return;
-        if (record.answered || record.confirmedHolders.isEmpty()) releaser.releaseUnused(record);
         if (record.answered && records.remove(record.number) != null) {
             closeActions.remove(record.number).run();
         }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -34,6 +34,8 @@
     private boolean done;
     private int unitsSeen;
     private String connection = "none";
+    private double connectionOpenedMs = Double.NEGATIVE_INFINITY;
+    private double connectionHeardMs = Double.NEGATIVE_INFINITY;
 
     Call(Pool pool, ClientRequest request, byte[] body, Reply reply) {
         this.pool = pool;
@@ -133,6 +135,16 @@
         return "connection=" + connection + " written=" + written;
     }
 
+    /** When its connection was opened. */
+    double connectionOpenedMs() {
+        return connectionOpenedMs;
+    }
+
+    /** When its connection last carried an answer before this call; when it was opened, if that is none. */
+    double connectionHeardMs() {
+        return connectionHeardMs;
+    }
+
     /** Reads what has come already, without waiting for its turn on the loop. */
     public void poll() {
         read();
@@ -163,6 +175,8 @@
         disconnect = null;
         link = to;
         connection = to.describe();
+        connectionOpenedMs = to.openedMs;
+        connectionHeardMs = to.idleSinceMs;
         link.connection.getSourceChannel().setReadListener(c -> read());
         link.connection.getSinkChannel().setWriteListener(c -> write());
         link.connection.getSourceChannel().resumeReads();
--- a/src/main/java/maplerail/net/EngineAttempt.java
+++ b/src/main/java/maplerail/net/EngineAttempt.java
@@ -24,6 +24,16 @@
         return call.describe();
     }
 
+    @Override
+    public double connectionOpenedMs() {
+        return call.connectionOpenedMs();
+    }
+
+    @Override
+    public double connectionHeardMs() {
+        return call.connectionHeardMs();
+    }
+
     @Override
     public void pause() {
         call.pause();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -22,6 +22,7 @@
 import maplerail.config.Tree;
 import maplerail.core.AttemptHandle;
 import maplerail.core.AttemptObserver;
+import maplerail.core.ConnectionChoice;
 import maplerail.core.EngineTransport;
 import maplerail.core.InferenceRequest;
 import maplerail.core.ReleaseGate;
@@ -47,6 +48,8 @@
     private final Map<Long, String> hosts = new HashMap<>(); // of both
     private final Map<ReleaseKey, StateRelease> releases = new HashMap<>();
 
+    private final SilentHolders silentHolders = new SilentHolders();
+
     /** One release at a time is enough for what an engine holds for a request. */
     private record ReleaseKey(InetSocketAddress holder, String requestId) {}
 
@@ -102,7 +105,8 @@
     }
 
     @Override
-    public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
+    public AttemptHandle send(
+            long engine, InferenceRequest ask, double untilMs, ConnectionChoice connection, AttemptObserver answer) {
         HttpCargo cargo = (HttpCargo) ask.payload();
         InetSocketAddress to = address(engine);
         ClientRequest request = Requests.to(to, cargo.method(), cargo.target());
@@ -110,15 +114,21 @@
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
-        Call call = pool.start(to, request, cargo.body(), new Incoming(answer) {
+        Reply reply = new Incoming(answer) {
             // Guards against an engine that is told of time which went by while its connection came up.
             @Override
             public void writing(HeaderMap headers) {
                 double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
                 headers.put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
             }
-        });
-        return new EngineAttempt(call);
+        };
+        return new EngineAttempt(pool.start(to, request, cargo.body(), reply, connection));
+    }
+
+    @Override
+    public void closeIdleConnections(long engine) {
+        InetSocketAddress to = address(engine);
+        if (to != null) pool.closeIdle(to);
     }
 
     /** Goes on with an engine's stream that another process began, from between two events. */
@@ -208,17 +218,21 @@
         List<InetSocketAddress> instead = lastToAnswer(others, known, id, gate);
         // Any engine can release a state: one that has long left may have left it behind.
         InetSocketAddress holder = known != null || instead.isEmpty() ? known : instead.get(0);
-        if (holder == null) return;
+        if (holder == null) {
+            gate.onEnded(false);
+            return;
+        }
         ReleaseKey key = new ReleaseKey(holder, id);
         StateRelease running = releases.get(key);
         if (running != null) {
-            running.renew(untilMs);
+            running.renew(untilMs, gate);
             return;
         }
-        Runnable onEnded = () -> releases.remove(key);
-        StateRelease release = new StateRelease(pool, metrics, holder, instead, id, untilMs, gate, onEnded);
+        Runnable onOver = () -> releases.remove(key);
+        StateRelease release =
+                new StateRelease(pool, metrics, silentHolders, holder, instead, id, untilMs, gate, onOver);
         releases.put(key, release);
-        release.start();
+        release.start(gate.connection());
     }
 
     /** The engines that may be asked instead of one: no suspects, and those that answered here last, come first. */
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import maplerail.core.ConnectionChoice;
 import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -79,8 +80,9 @@
         return call;
     }
 
-    /** The same on a connection of its own, for a request whose first try on an idle one was not answered. */
-    Call startOnNewConnection(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
+    /** The same on a connection of choice; at the limit of connections it waits for whichever is free first. */
+    Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply, ConnectionChoice connection) {
+        if (connection == ConnectionChoice.ANY) return start(to, request, body, reply);
         Call call = new Call(this, request, body, reply);
         if (mayConnect(to)) connect(to, call);
         else waitForConnection(to, request, call);
@@ -210,7 +212,7 @@
     }
 
     private PooledConnection own(InetSocketAddress to, StreamConnection connection) {
-        PooledConnection link = new PooledConnection(++lastNumber, to, connection);
+        PooledConnection link = new PooledConnection(++lastNumber, to, connection, loop.nowMs());
         links.add(link);
         connection.getCloseSetter().set(closed -> {
             links.remove(link);
--- a/src/main/java/maplerail/net/PooledConnection.java
+++ b/src/main/java/maplerail/net/PooledConnection.java
@@ -10,15 +10,20 @@
 final class PooledConnection {
     final InetSocketAddress to;
     final StreamConnection connection;
+    final double openedMs;
+    /** When it last became idle, after an answer; before the first, when it was opened. */
     double idleSinceMs;
+
     private final long number;
     private int uses;
 
     /** {@code number} names it in the log, together with its use. */
-    PooledConnection(long number, InetSocketAddress to, StreamConnection connection) {
+    PooledConnection(long number, InetSocketAddress to, StreamConnection connection, double openedMs) {
         this.number = number;
         this.to = to;
         this.connection = connection;
+        this.openedMs = openedMs;
+        this.idleSinceMs = openedMs;
     }
 
     /** Its number and which use of it this is, for the log. */
--- a/src/main/java/maplerail/net/StateRelease.java
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import maplerail.core.ConnectionChoice;
 import maplerail.core.EventLoop;
 import maplerail.core.ReleaseGate;
 import maplerail.metrics.EventCount;
@@ -18,12 +19,13 @@
 /**
  * One release of what engines hold for a request. It is repeated until its own engine has answered or its time is over: that
  * a call was written proves nothing, as its connection may have fallen silent. What its engine does not answer at once is
- * asked on a new connection, and of other engines too, two at a time, as any engine can release a state.
+ * asked on a new connection, and of other engines too, two at a time, as any engine can release a state. Once one of those
+ * has answered, only what its own engine leaves later is open: see {@link SilentHolders}.
  */
 final class StateRelease {
     private static final Logger LOG = LoggerFactory.getLogger(StateRelease.class);
     private static final double RETRY_MS = 60; // after a call that failed, at first; doubled each time
-    private static final double MAX_RETRY_MS = 480;
+    private static final double MAX_RETRY_MS = 240;
     private static final double SILENT_MS = 150; // after which a call without an answer is given up and made again
     private static final double UNANSWERED_MS = 60; // after which others are asked too, a few at a time
     private static final int OTHERS_AT_ONCE = 2;
@@ -31,17 +33,20 @@
     private final Pool pool;
     private final EventLoop loop;
     private final Metrics metrics;
+    private final SilentHolders silentHolders;
     private final InetSocketAddress holder;
-    private final ArrayDeque<InetSocketAddress> others;
+    private final List<InetSocketAddress> others;
+    private final ArrayDeque<InetSocketAddress> unasked = new ArrayDeque<>();
     private final String requestId;
-    private final ReleaseGate gate;
-    private final Runnable onEnded;
+    private final Runnable onOver;
     private final Set<ReleaseCall> open = new HashSet<>();
+    private ReleaseGate gate;
     private double untilMs;
     private double retryMs = RETRY_MS;
     private boolean retryPending;
     private boolean askedAnew;
     private boolean answered;
+    private boolean holderAnswered;
     private boolean ended;
     private double startedMs;
     private int calls;
@@ -52,53 +57,68 @@
      * @param holder the engine that may hold the state
      * @param others the engines that may be asked as well, in the order in which they are
      * @param untilMs the time until which it is repeated
-     * @param gate says whether it may be sent again, and to others; it goes on once it may
-     * @param onEnded is run once, when it has been answered or its time is over
+     * @param gate says whether it may be sent again; it goes on once it may
+     * @param onOver is run once, when it has been answered by its holder or its time is over
      */
     StateRelease(
             Pool pool,
             Metrics metrics,
+            SilentHolders silentHolders,
             InetSocketAddress holder,
             List<InetSocketAddress> others,
             String requestId,
             double untilMs,
             ReleaseGate gate,
-            Runnable onEnded) {
+            Runnable onOver) {
         this.pool = pool;
         this.loop = pool.loop();
         this.metrics = metrics;
+        this.silentHolders = silentHolders;
         this.holder = holder;
-        this.others = new ArrayDeque<>(others);
+        this.others = others;
         this.requestId = requestId;
         this.untilMs = untilMs;
         this.gate = gate;
-        this.onEnded = onEnded;
+        this.onOver = onOver;
     }
 
-    void start() {
+    /** Makes the first call, on a new connection if the open ones are suspected of being silent. */
+    void start(ConnectionChoice connection) {
         metrics.count(EventCount.RELEASES);
         startedMs = loop.nowMs();
+        unasked.addAll(others);
         loop.at(untilMs, this::checkEnd);
-        call(holder, false);
+        askedAnew = connection == ConnectionChoice.NEW;
+        call(holder, connection);
         loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
     }
 
-    /** The same release is wanted again: it is made once more at once, and goes on for longer. */
-    void renew(double newUntilMs) {
+    /** The same release is wanted again, by a gate that takes the place of the one before: it is made once more at once. */
+    void renew(double newUntilMs, ReleaseGate newGate) {
+        ReleaseGate before = gate;
+        gate = newGate;
+        answered = false;
         untilMs = Math.max(untilMs, newUntilMs);
-        call(holder, askedAnew);
+        if (!before.equals(newGate)) before.onEnded(false);
+        unasked.clear();
+        unasked.addAll(others);
+        call(holder, askedAnew ? ConnectionChoice.NEW : ConnectionChoice.ANY);
+        loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
     }
 
     private void checkEnd() {
+        if (ended) return;
         boolean goesOn = loop.nowMs() < untilMs || !answered && !gate.isOpen();
-        if (goesOn && !ended) loop.at(Math.max(untilMs, loop.nowMs() + SILENT_MS), this::checkEnd);
+        if (goesOn) loop.at(Math.max(untilMs, loop.nowMs() + SILENT_MS), this::checkEnd);
         else end();
     }
 
     private void end() {
         if (ended) return;
         ended = true;
-        onEnded.run();
+        silentHolders.remove(holder, this);
+        onOver.run();
+        gate.onEnded(holderAnswered);
         if (answered) return;
         metrics.count(EventCount.RELEASES_UNANSWERED);
         LOG.info("release unanswered request={} holder={} calls={}", requestId, holder, calls);
@@ -124,33 +144,65 @@
         retryPending = true;
         loop.at(loop.nowMs() + retryMs, () -> {
             retryPending = false;
-            if (gate.isOpen()) call(holder, true);
+            if (ended) return;
+            boolean urgent = !answered;
+            if (gate.isOpen() && (urgent || silentHolders.mayTry(holder, this))) call(holder, ConnectionChoice.NEW);
             else retry();
         });
         retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
     }
 
-    private void call(InetSocketAddress engine, boolean newConnection) {
+    /** The holder has answered another release: it runs again. */
+    private void onHolderReachable() {
+        if (!ended && gate.isOpen()) call(holder, ConnectionChoice.ANY);
+    }
+
+    private void call(InetSocketAddress engine, ConnectionChoice connection) {
         if (ended) return;
         metrics.count(EventCount.RELEASE_CALLS);
         calls++;
         ReleaseCall made = new ReleaseCall(engine);
         open.add(made);
-        made.start(newConnection);
+        made.start(connection);
     }
 
-    /** Asks on a new connection, and another engine, for as long as nobody has answered. */
+    /** Asks on a new connection, and other engines, for as long as nobody has answered. */
     private void askAnew() {
         // What a loop that is behind has not read yet is no silence.
         List.copyOf(open).forEach(ReleaseCall::poll);
         if (answered || ended) return;
         if (gate.isOpen()) {
-            if (!askedAnew) call(holder, true);
+            if (!askedAnew) call(holder, ConnectionChoice.NEW);
             askedAnew = true;
-            for (int i = 0; i < OTHERS_AT_ONCE && gate.mayAskOthers() && !others.isEmpty(); i++)
-                call(others.poll(), true);
+            askOthers();
         }
-        if (!others.isEmpty()) loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
+        loop.at(loop.nowMs() + UNANSWERED_MS, this::askAnew);
+    }
+
+    /** Each in turn; where all have failed, from the first again, but no more at once than a few. */
+    private void askOthers() {
+        if (unasked.isEmpty() && open.size() < OTHERS_AT_ONCE) unasked.addAll(others);
+        for (int i = 0; i < OTHERS_AT_ONCE && !unasked.isEmpty(); i++) call(unasked.poll(), ConnectionChoice.NEW);
+    }
+
+    /** A call could not be made or its connection broke: its engine is no use for now. */
+    private void onFailed(InetSocketAddress engine) {
+        if (engine.equals(holder)) retry();
+        if (!answered && !ended && gate.isOpen()) askOthers();
+    }
+
+    private void onAnswer(InetSocketAddress engine) {
+        boolean first = !answered;
+        answered = true;
+        if (first) logFirstAnswer(engine);
+        boolean byHolder = engine.equals(holder);
+        if (byHolder) holderAnswered = true;
+        if (first) gate.onAnswered();
+        if (!byHolder) return;
+        gate.onHolderAnswered();
+        List<StateRelease> waiting = silentHolders.onAnswered(holder);
+        end();
+        waiting.forEach(StateRelease::onHolderReachable);
     }
 
     /** One call at one engine. */
@@ -164,11 +216,9 @@
             this.engine = engine;
         }
 
-        void start(boolean newConnection) {
+        void start(ConnectionChoice connection) {
             var request = Requests.to(engine, Methods.DELETE, "/internal/reservations/" + requestId);
-            call = newConnection
-                    ? pool.startOnNewConnection(engine, request, new byte[0], this)
-                    : pool.start(engine, request, new byte[0], this);
+            call = pool.start(engine, request, new byte[0], this, connection);
             silence = loop.at(loop.nowMs() + SILENT_MS, this::onSilence);
         }
 
@@ -202,9 +252,7 @@
         @Override
         public void head(int status, HeaderMap headers) {
             finish();
-            if (!answered) logFirstAnswer(engine);
-            answered = true;
-            if (engine.equals(holder)) end();
+            onAnswer(engine);
         }
 
         @Override
@@ -217,7 +265,7 @@
         public void failed(boolean neverSent) {
             finish();
             LOG.debug("release failed request={} engine={} never_sent={}", requestId, engine, neverSent);
-            if (engine.equals(holder)) retry();
+            onFailed(engine);
         }
     }
 }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -16,6 +16,7 @@
 import maplerail.config.Json;
 import maplerail.core.AttemptHandle;
 import maplerail.core.AttemptObserver;
+import maplerail.core.ConnectionChoice;
 import maplerail.core.EngineTransport;
 import maplerail.core.InferenceRequest;
 import maplerail.core.ReleaseGate;
@@ -47,7 +48,8 @@
     }
 
     @Override
-    public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
+    public AttemptHandle send(
+            long engine, InferenceRequest ask, double untilMs, ConnectionChoice connection, AttemptObserver answer) {
         ToolCargo cargo = (ToolCargo) ask.payload();
         ClientRequest request = Requests.to(addresses.get(engine), Methods.POST, cargo.path());
         request.getRequestHeaders().put(ID, ask.id());
@@ -57,7 +59,7 @@
         request.getRequestHeaders().put(Headers.ACCEPT, "application/json, text/event-stream");
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.message().length);
         Incoming incoming = new Incoming(answer, cargo.mostReply());
-        incoming.call = pool.start(addresses.get(engine), request, cargo.message(), incoming);
+        incoming.call = pool.start(addresses.get(engine), request, cargo.message(), incoming, connection);
         return new EngineAttempt(incoming.call);
     }
 
@@ -151,6 +153,10 @@
         }
     }
 
+    /** Only asked for reads, of which tool servers have none. */
+    @Override
+    public void closeIdleConnections(long engine) {}
+
     /** Tool servers hold nothing for a request that has ended. */
     @Override
     public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {}
--- a/src/main/java/maplerail/server/DrainController.java
+++ b/src/main/java/maplerail/server/DrainController.java
@@ -32,6 +32,7 @@
     private final Broker broker;
     private final Host host;
     private double nextReportMs;
+    private double forcedMs;
 
     /** The parts of a gateway, as far as its shutdown needs them. */
     interface Host {
@@ -56,6 +57,9 @@
         /** True while anything that was taken is not finished. */
         boolean hasOpenWork();
 
+        /** True while a state that engines may hold was not released for certain. */
+        boolean hasOpenReleases();
+
         /** What is not finished, for the log. */
         String openWork();
 
@@ -79,12 +83,12 @@
             return;
         }
         host.releaseShared();
-        double forcedMs = loop.nowMs() + forcedAfterMs();
+        forcedMs = loop.nowMs() + forcedAfterMs();
         // A request that comes on a kept connection just before the end would be cut off by it.
         host.limitDeadlines(forcedMs - ANSWER_MARGIN_MS);
         loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
         host.handOnStreams(forcedMs - NOT_HANDED_ON_MS);
-        if (host.config().wire().resume()) loop.at(forcedMs - BREAK_OFF_MS, () -> beginBreakingOff(forcedMs));
+        if (host.config().wire().resume()) loop.at(forcedMs - BREAK_OFF_MS, () -> beginBreakingOff());
     }
 
     private double forcedAfterMs() {
@@ -96,7 +100,7 @@
     }
 
     /** Where another process takes streams, only those that it did not take are broken off. */
-    private void beginBreakingOff(double forcedMs) {
+    private void beginBreakingOff() {
         if (host.handsStreamsOn()) loop.at(forcedMs - NOT_HANDED_ON_MS, () -> breakOff(NOT_HANDED_ON_STEPS));
         else breakOff(BREAK_OFF_STEPS);
     }
@@ -113,7 +117,9 @@
 
     private void finish() {
         host.closeIdleConnections();
-        if (!host.hasOpenWork()) {
+        // An engine that hangs may leave a state whenever it goes on; nobody waits for it longer than the operators do.
+        boolean waitsForEngines = loop.nowMs() < forcedMs && host.hasOpenReleases();
+        if (!host.hasOpenWork() && !waitsForEngines) {
             host.onDrained();
             return;
         }
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -444,20 +444,22 @@
             tools.ifPresent(front -> front.front().stopTaking());
         }
 
-        /** Releases count as well: a state that is released too late, or never, would stay held at its engine. */
+        @Override
+        public boolean hasOpenReleases() {
+            return broker.pendingReleases() > 0 || engines.releasing() > 0;
+        }
+
         @Override
         public boolean hasOpenWork() {
             return listener.isBusy()
                     || openRequests() > 0
-                    || broker.pendingReleases() > 0
-                    || engines.releasing() > 0
                     || migration.map(StreamMigration::inTransit).orElse(0) > 0
                     || tools.map(ToolGateway::isBusy).orElse(false);
         }
 
         @Override
         public String openWork() {
-            return clientsLeft() + " releases=" + engines.releasing() + " repeats=" + broker.pendingReleases();
+            return clientsLeft() + " releases=" + engines.releasing() + " reservations=" + broker.pendingReleases();
         }
 
         @Override
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -43,6 +43,9 @@
     private final List<RoutingAction> next = new ArrayList<>();
     private final List<Out> out = new ArrayList<>();
     private final List<String> released = new ArrayList<>();
+    private final List<ReleaseGate> gates = new ArrayList<>();
+    private final List<ConnectionChoice> connections = new ArrayList<>();
+    private boolean answersReleases = true;
     private final List<String> wire = new ArrayList<>();
     private final List<String> caller = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
@@ -164,15 +167,29 @@
                 new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1));
         EngineTransport engines = new EngineTransport() {
             @Override
-            public AttemptHandle send(long engine, InferenceRequest ask, double untilMs, AttemptObserver answer) {
+            public AttemptHandle send(
+                    long engine,
+                    InferenceRequest ask,
+                    double untilMs,
+                    ConnectionChoice connection,
+                    AttemptObserver answer) {
+                connections.add(connection);
                 out.add(new Out(answer));
                 return out.get(out.size() - 1);
             }
 
+            @Override
+            public void closeIdleConnections(long engine) {}
+
             @Override
             public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {
                 released.add(engine + "/" + id);
+                gates.add(gate);
                 wire.add("release");
+                if (!answersReleases) return;
+                gate.onAnswered();
+                gate.onHolderAnswered();
+                gate.onEnded(true);
             }
         };
         broker = new Broker(
@@ -706,9 +723,9 @@
         take("a", send(READER));
         atEnd.add(send(WRITER));
         act(new CancelAttempt(1, 0));
+        assertThat(released).as("what the writer may wait for").isEmpty();
         out.get(1).answer.onEvent(new byte[1]);
-        loop.until(loop.now + 600);
-        assertThat(released).containsExactly("1/a");
+        assertThat(released).as("at once").containsExactly("1/a");
         loop.until(loop.now + 600);
         assertThat(released).as("it may go on reading").hasSizeGreaterThanOrEqualTo(2);
         assertThat(out.get(1).aborted).isFalse();
@@ -719,22 +736,80 @@
     }
 
     @Test
-    void whatABrokenReadLeftIsLetGoAfterAStreamToo() {
+    void whatABrokenReadLeftIsLetGoAsAStreamBegins() {
         take("a", send(READER));
         atEnd.add(send(WRITER));
         out.get(0).answer.onEnded(AttemptOutcome.RESET, 0);
+        assertThat(released).as("what the writer may wait for").isEmpty();
         out.get(1).answer.onEvent(new byte[1]);
-        assertThat(released).as("its writer streams").isEmpty();
+        assertThat(released).containsExactly("1/a");
         out.get(1).answer.onEnded(AttemptOutcome.COMPLETED, 0);
-        assertThat(released).contains("1/a");
+        loop.until(loop.now + 2_000);
+        assertThat(released).as("it may go on reading").hasSize(6);
+    }
+
+    /** A read that did not arrive kept what an older one had left, as releases waited for it. */
+    @Test
+    void whatAnEarlierReadMayHaveLeftIsReleasedBeforeTheNextIsWritten() {
+        answersReleases = false;
+        take("a", send(READER));
+        act(new CancelAttempt(1, 0), send(READER));
+        assertThat(released).containsExactly("1/a");
+        assertThat(out).as("it waits for the release").hasSize(1);
+        gates.get(0).onAnswered();
+        assertThat(out).hasSize(2);
+        assertThat(connections).containsExactly(ConnectionChoice.ANY, ConnectionChoice.NEW);
+        gates.get(0).onHolderAnswered();
+        gates.get(0).onEnded(true);
+        loop.until(1_800);
+        assertThat(released).as("a release would undo the read").hasSize(1);
     }
 
     @Test
-    void aLeftoverIsNotLetGoWhileItsReaderIsInUse() {
+    void aReadWaitsForAReleaseThatNobodyAnswersForAWhileOnly() {
+        answersReleases = false;
         take("a", send(READER));
         act(new CancelAttempt(1, 0), send(READER));
-        loop.until(1_400);
+        loop.until(loop.now + 151);
+        assertThat(out).hasSize(2);
+        assertThat(gates.get(0).isOpen()).as("while the next read is in flight").isFalse();
+    }
+
+    /** Written is not arrived, and an answer may be lost: what a read that should have ended may hold is released. */
+    @Test
+    void aReadThatIsNotHeardOfIsGivenUpWithinTheLimit() {
+        take("a", send(READER));
+        loop.until(loop.now + 100);
+        next.add(send(WRITER));
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
+        out.get(1).answer.onEvent(new byte[1]);
+        take("b", new RoutingAction.StartAttempt(2, READER, 0));
+        loop.until(loop.now + 540);
         assertThat(released).isEmpty();
+        loop.until(loop.now + 20);
+        assertThat(out.get(2).aborted).isTrue();
+        assertThat(released).as("reads take 100 ms, and the limit is 500").containsExactly("1/b");
+        assertThat(log).anyMatch(line -> line.contains("outcome=CANCELLED") && line.contains("aborted_for=UNHEARD"));
+    }
+
+    /** A reader that hangs finishes what it read once it goes on, however long after the request has ended. */
+    @Test
+    void whatAReaderThatHangsMayLeaveIsReleasedUntilItHasAnsweredItself() {
+        answersReleases = false;
+        RequestHandle ticket = take("a", send(READER));
+        ticket.onClientDisconnected();
+        gates.get(0).onAnswered(); // by another engine
+        loop.until(loop.now + 10_000);
+        assertThat(broker.pendingReleases()).isEqualTo(1);
+        assertThat(gates.get(0).isOpen()).isTrue();
+        answersReleases = true;
+        gates.get(0).onHolderAnswered();
+        gates.get(0).onEnded(true);
+        loop.until(loop.now + 1_599);
+        assertThat(released).as("it may end the read after it answered").hasSize(5);
+        loop.until(loop.now + 2);
+        assertThat(released).hasSize(6);
+        assertThat(broker.pendingReleases()).isZero();
     }
 
     /** A loop that is behind decides before it hears what has come: the news counts from when it was told. */
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.BlockingQueue;
 import maplerail.config.EngineList;
 import maplerail.core.AttemptObserver;
+import maplerail.core.ConnectionChoice;
 import maplerail.core.InferenceRequest;
 import maplerail.core.ReleaseGate;
 import maplerail.routing.AttemptOutcome;
@@ -41,11 +42,6 @@
             return true;
         }
 
-        @Override
-        public boolean mayAskOthers() {
-            return true;
-        }
-
         @Override
         public boolean isSuspect(long engine) {
             return false;
@@ -357,8 +353,8 @@
             InferenceRequest ask = new InferenceRequest("a1", 0, 0, 0, 1, 0, 0, 5_000, 1, 0, false, 2, cargo);
             double until = loop.nowMs() + 5_000;
             loop.execute(() -> {
-                client.send(1, ask, until, new Untold());
-                client.send(1, ask, until, new Untold());
+                client.send(1, ask, until, ConnectionChoice.ANY, new Untold());
+                client.send(1, ask, until, ConnectionChoice.ANY, new Untold());
             });
             StandIn.Exchange first = take(taken);
             double from = loop.nowMs();
