Reproduction: a reader's answer that never ends behind its head, failing and listed

The head of the 202 says that the read has ended; the gateway waits for the body, until the policy finds the read overdue, or 2 s.

--- a/src/test/java/maplerail/incident/UnheardReadsIT.java
+++ b/src/test/java/maplerail/incident/UnheardReadsIT.java
@@ -89,6 +89,12 @@
                 });
             }
         },
+        ANSWERS_OF_READERS_NEVER_END {
+            @Override
+            void begin(StandInFleet fleet, GatewayProcess gateway) {
+                fleet.readersNeverEndAnswers = true;
+            }
+        },
         A_READER_HANGS {
             @Override
             void begin(StandInFleet fleet, GatewayProcess gateway) {
--- a/src/test/java/maplerail/support/StandInFleet.java
+++ b/src/test/java/maplerail/support/StandInFleet.java
@@ -20,6 +20,8 @@
     public final List<Engine> readers = new ArrayList<>();
     public final List<Engine> writers = new ArrayList<>();
     public volatile boolean writersDecline;
+    /** Readers say with a whole head that a read has ended, and never end the answer. */
+    public volatile boolean readersNeverEndAnswers;
 
     private final FaultNet net;
 
@@ -79,7 +81,8 @@
             TimeUnit.MILLISECONDS.sleep(SHORTEST_READ_MS + Math.floorMod(id.hashCode(), READ_SPREAD_MS));
             awaitRunning();
             ledger.attemptEnds(id, !undone.remove(id));
-            exchange.reply(202, "{\"cached_tokens\":0}");
+            if (readersNeverEndAnswers) exchange.write("HTTP/1.1 202 X\r\nContent-Length: 100\r\n\r\n{");
+            else exchange.reply(202, "{\"cached_tokens\":0}");
         }
 
         private void serveWriter(StandIn.Exchange exchange) throws Exception {
