A reader's answer ends within 150 ms of its head, and a read that has ended is released once

Cause: the 202's head says that the read has ended and a state waits; the gateway waited for a body that never ended until the policy found the read overdue, or 2 s. The answer is given up 150 ms after its head now, and as the read has ended its release is not repeated: the repeats of a load that fails whole held up the loop (reads ended 0.6 s late).

--- a/src/main/java/maplerail/core/AttemptHandle.java
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -16,6 +16,11 @@
         return "";
     }
 
+    /** True if a reader has said that the read has ended, though its answer may not be complete. */
+    default boolean isPromptRead() {
+        return false;
+    }
+
     /** When its connection was opened; before everything if that is not known. */
     default double connectionOpenedMs() {
         return Double.NEGATIVE_INFINITY;
--- a/src/main/java/maplerail/core/Reservation.java
+++ b/src/main/java/maplerail/core/Reservation.java
@@ -51,10 +51,10 @@
         return new Reservation(engine, Phase.HELD);
     }
 
-    /** A read ended without its engine's answer. */
-    static Reservation abandoned(long engine) {
+    /** A read ended without its engine's complete answer; {@code mayRun} if the engine has not said that it has ended. */
+    static Reservation abandoned(long engine, boolean mayRun) {
         Reservation reservation = new Reservation(engine, Phase.ABANDONED);
-        reservation.mayReappear = true;
+        reservation.mayReappear = mayRun;
         return reservation;
     }
 
--- a/src/main/java/maplerail/core/ReservationKeeper.java
+++ b/src/main/java/maplerail/core/ReservationKeeper.java
@@ -134,7 +134,7 @@
         // A read that was cancelled may have been completed just then.
         if (outcome.provesNoEffect() && !known.mayReappear()) return;
         if (!reservations.has(Phase.HELD)) reservations.restartLimit(loop.nowMs());
-        reservations.put(Reservation.abandoned(read.engine));
+        reservations.put(Reservation.abandoned(read.engine, known.mayReappear() || !read.handle.isPromptRead()));
     }
 
     /** True if the outcome is an engine's own word, which proves that the attempt had arrived there. */
--- a/src/main/java/maplerail/net/EngineAttempt.java
+++ b/src/main/java/maplerail/net/EngineAttempt.java
@@ -1,9 +1,15 @@
 package maplerail.net;
 
+import java.util.function.BooleanSupplier;
 import maplerail.core.AttemptHandle;
 
-/** A {@link Call} as the core sees it. */
-record EngineAttempt(Call call) implements AttemptHandle {
+/** A {@link Call} as the core sees it; {@code promptRead} says whether the head of a reader's answer has come. */
+record EngineAttempt(Call call, BooleanSupplier promptRead) implements AttemptHandle {
+    @Override
+    public boolean isPromptRead() {
+        return promptRead.getAsBoolean();
+    }
+
     @Override
     public boolean isUnsent() {
         return call.unsent();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -40,6 +40,12 @@
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
     private static final int MOST_READ = 64 * 1024; // of an answer that is no stream
 
+    /**
+     * After the head of a reader's answer, in which its end has to come: the head says that the read has ended and a state waits,
+     * and the limit on that runs.
+     */
+    private static final double READ_ANSWER_MS = 150;
+
     private final Pool pool;
     private final Metrics metrics;
     private final XnioLoop loop;
@@ -114,15 +120,21 @@
             request.getRequestHeaders().add(header.getKey(), header.getValue());
         }
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.body().length);
-        Reply reply = new Incoming(answer) {
+        Incoming reply = new Incoming(answer) {
             // Guards against an engine that is told of time which went by while its connection came up.
             @Override
             public void writing(HeaderMap headers) {
                 double left = Math.max(1, untilMs - loop.nowMs()) / 1_000;
                 headers.put(DEADLINE, String.format(Locale.ROOT, "%.3f", left));
             }
+
+            @Override
+            void onPromptRead() {
+                loop.at(loop.nowMs() + READ_ANSWER_MS, this::endIncomplete);
+            }
         };
-        return new EngineAttempt(pool.start(to, request, cargo.body(), reply, connection));
+        reply.call = pool.start(to, request, cargo.body(), reply, connection);
+        return new EngineAttempt(reply.call, () -> reply.meaning == AttemptOutcome.PROMPT_READ);
     }
 
     @Override
@@ -136,7 +148,7 @@
         Incoming incoming = new Incoming(answer);
         incoming.meaning = AttemptOutcome.COMPLETED;
         incoming.framed = true;
-        return new EngineAttempt(pool.adopt(to, connection, incoming));
+        return new EngineAttempt(pool.adopt(to, connection, incoming), () -> false);
     }
 
     /** An engine's answer, told as an outcome. */
@@ -147,6 +159,7 @@
         private AttemptOutcome meaning;
         private boolean framed;
         private boolean unfit;
+        private Call call;
 
         Incoming(AttemptObserver answer) {
             this.answer = answer;
@@ -168,6 +181,16 @@
             unfit = Outcomes.unfit(status);
             // Without framing the end of the connection is no sign of a whole answer.
             framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
+            if (meaning == AttemptOutcome.PROMPT_READ) onPromptRead();
+        }
+
+        /** The head of a reader's answer has come. */
+        void onPromptRead() {}
+
+        /** Gives up an answer whose end has not come by now. */
+        final void endIncomplete() {
+            call.poll();
+            if (!call.done()) call.fail();
         }
 
         @Override
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -60,7 +60,7 @@
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, cargo.message().length);
         Incoming incoming = new Incoming(answer, cargo.mostReply());
         incoming.call = pool.start(addresses.get(engine), request, cargo.message(), incoming, connection);
-        return new EngineAttempt(incoming.call);
+        return new EngineAttempt(incoming.call, () -> false);
     }
 
     private static final class Incoming implements Reply {
