--- a/src/main/java/maplerail/core/Attempt.java
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -42,6 +42,15 @@
         return Double.isNaN(writtenMs) ? sentMs : writtenMs;
     }
 
+    /** True if it was given up without a word of its engine: its connection may have been silent. */
+    boolean isUnheard() {
+        if (!ended || answered || abortReason == null) return false;
+        return switch (abortReason) {
+            case POLICY, UNHEARD, DEADLINE -> true;
+            default -> false;
+        };
+    }
+
     boolean isInFlight() {
         return !ended;
     }
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -46,20 +46,12 @@
 
     /** True if an attempt was given up without a word of its engine: its connection may have been silent. */
     boolean hasUnheardAttempt() {
-        return attempts.stream().anyMatch(RequestRecord::isUnheard);
+        return attempts.stream().anyMatch(Attempt::isUnheard);
     }
 
     /** True if an attempt at an engine was given up so. */
     boolean hasUnheardAttemptAt(long engine) {
-        return attempts.stream().anyMatch(attempt -> attempt.engine == engine && isUnheard(attempt));
-    }
-
-    private static boolean isUnheard(Attempt attempt) {
-        if (!attempt.ended || attempt.answered || attempt.abortReason == null) return false;
-        return switch (attempt.abortReason) {
-            case POLICY, UNHEARD, DEADLINE -> true;
-            default -> false;
-        };
+        return attempts.stream().anyMatch(attempt -> attempt.engine == engine && attempt.isUnheard());
     }
 
     /** True once the answer streams and has not ended. */
--- a/src/main/java/maplerail/core/UnheardReadDetector.java
+++ b/src/main/java/maplerail/core/UnheardReadDetector.java
@@ -24,7 +24,6 @@
     private static final double EXCUSED_LIMITS = 2;
 
     private static final double RECHECK_MS = 50;
-    private static final double INITIAL_BUDGET = 2;
     private static final double BUDGET = 3;
     private static final double PROVEN_BUDGET = 12; // once a read has proved that there is silence
     private static final double BUDGET_PER_ANSWER = 0.05;
@@ -40,7 +39,7 @@
 
     private final Map<Long, Reader> readers = new HashMap<>();
     private final DecayingAverage allTimes = new DecayingAverage(ALL_SAMPLES, ALL_MEMORY_MS);
-    private double budget = INITIAL_BUDGET;
+    private double budget = BUDGET;
 
     /** An answer: when it came, and when its connection was opened. */
     private record Answer(double atMs, double connectionOpenedMs) {}
@@ -70,10 +69,10 @@
         if (followsLostRead(read)) budget = Math.min(PROVEN_BUDGET, budget + 1);
     }
 
-    /** True if a read of the request was given up before, and had taken far longer than this one, on a new connection, did. */
+    /** True if a read of the request was given up, by whomever, and had taken far longer than this one on a new connection. */
     private static boolean provesSilence(Attempt read, double elapsedMs) {
         return read.record.attempts.stream()
-                .filter(attempt -> attempt.abortReason == AbortReason.UNHEARD)
+                .filter(attempt -> attempt.readsPrompt && attempt.isUnheard())
                 .anyMatch(attempt -> attempt.endedMs - attempt.writtenMs() > MUCH_LONGER * elapsedMs);
     }
 
