The loop looks at its sockets before a timer decides: no dial is lost to a late loop

Cause: XNIO's thread runs all queued tasks and due timers, and those that they queue, before it polls its selector. A timer of a late loop gave up dials that the engines had accepted; each was dialled anew, which made the loop later. Deferring by `execute` waits for nothing, and a timer that is due again at once, such as the accept throttle's, kept the thread from its sockets.

Change: XnioLoop has its own queue of timers. One that is due only orders a poll: the end of a pipe that is always writable is reported by the next poll, together with all sockets that are ready, and timers that were due when the poll began run after those were handled; for 10 ms at most between two polls.

--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -1,20 +1,48 @@
 package maplerail.net;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.OptionalDouble;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import maplerail.core.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
-/** The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks. */
+/**
+ * The broker's loop on an XNIO thread: everything that it owns runs there and needs no locks.
+ *
+ * <p>It has timers of its own. The thread's timers run before its sockets are polled, so that of a late loop they would take
+ * what has arrived for lost. Here a timer that is due only orders a poll, and those that were due when the poll began run
+ * after it. Between polls timers run for a limited time, so that many of them do not keep the thread from its sockets.
+ */
 public final class XnioLoop implements EventLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+    private static final double TIMERS_BETWEEN_POLLS_MS = 10;
+
     private final XnioIoThread thread;
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
+    private final TimerQueue timers = new TimerQueue();
+    private final SocketPollBarrier barrier;
+    private XnioExecutor.Key wakeUp;
+    private double wakeUpMs = Double.POSITIVE_INFINITY;
+    private double pollOrderedMs;
 
-    /** Makes the loop of a thread. */
+    /**
+     * Makes the loop of a thread.
+     *
+     * @throws UncheckedIOException if the system gives no pipe
+     */
     public XnioLoop(XnioIoThread thread) {
         this.thread = thread;
+        try {
+            barrier = new SocketPollBarrier(thread, this::onPolled);
+        } catch (IOException e) {
+            throw new UncheckedIOException("no pipe for the event loop", e);
+        }
     }
 
     /** The thread. */
@@ -27,17 +55,98 @@
         return startMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
+    /** As the interface says; may be called from any thread. */
     @Override
     public Timer at(double whenMs, Runnable task) {
-        long millis = (long) Math.ceil(Math.max(0, whenMs - nowMs())); // the thread cuts off parts of one
+        if (Thread.currentThread() != thread) {
+            PostedTimer posted = new PostedTimer(whenMs, task);
+            execute(posted::add);
+            return posted;
+        }
+        TimerQueue.Entry entry = timers.add(whenMs, task);
+        scheduleNext();
+        return () -> timers.remove(entry);
+    }
+
+    /** A timer that was set from another thread. */
+    private final class PostedTimer implements Timer {
+        private final double whenMs;
+        private final Runnable task;
+        private Timer timer = () -> {};
+        private boolean cancelled;
+
+        PostedTimer(double whenMs, Runnable task) {
+            this.whenMs = whenMs;
+            this.task = task;
+        }
+
+        void add() {
+            if (!cancelled) timer = at(whenMs, task);
+        }
+
+        @Override
+        public void cancel() {
+            execute(() -> {
+                cancelled = true;
+                timer.cancel();
+            });
+        }
+    }
+
+    /** Orders a poll if a timer is due, else a wake-up for the first that will be. */
+    private void scheduleNext() {
+        OptionalDouble firstMs = timers.firstDueMs();
+        if (firstMs.isEmpty() || barrier.isArmed()) return;
+        double nowMs = nowMs();
+        if (firstMs.getAsDouble() <= nowMs) {
+            pollOrderedMs = nowMs;
+            barrier.arm();
+        } else if (firstMs.getAsDouble() < wakeUpMs) {
+            wakeUpAt(firstMs.getAsDouble(), nowMs);
+        }
+    }
+
+    private void wakeUpAt(double whenMs, double nowMs) {
+        if (wakeUp != null) wakeUp.remove();
+        wakeUpMs = whenMs;
+        long millis = (long) Math.ceil(whenMs - nowMs); // the thread cuts off parts of one
         try {
-            XnioExecutor.Key key = thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
-            return key::remove;
+            wakeUp = thread.executeAfter(this::onWakeUp, millis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
-            return () -> {}; // the thread is stopping: nothing is to happen any more
+            barrier.close(); // the thread is stopping: nothing is to happen any more
         }
     }
 
+    private void onWakeUp() {
+        wakeUp = null;
+        wakeUpMs = Double.POSITIVE_INFINITY;
+        scheduleNext();
+    }
+
+    private void onPolled() {
+        double dueMs = pollOrderedMs;
+        double untilMs = nowMs() + TIMERS_BETWEEN_POLLS_MS;
+        do {
+            TimerQueue.Entry next = timers.pollDue(dueMs);
+            if (next == null) break;
+            run(next.task());
+        } while (nowMs() < untilMs);
+        scheduleNext();
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("a timer failed", e);
+        }
+    }
+
+    /** Ends the loop's timers for good, so that its thread can stop; to be called on the thread. */
+    public void close() {
+        barrier.close();
+    }
+
     /** Runs a task soon, from any thread; not at all once the thread is stopping. */
     public void execute(Runnable task) {
         try {
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -398,6 +398,7 @@
             peers.close();
             if (admin != null) admin.close();
             migration.ifPresent(StreamMigration::close);
+            loop.close();
             worker.shutdownNow();
         });
     }
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -56,6 +56,7 @@
         List<String> asked = new CopyOnWriteArrayList<>();
         BlockingQueue<String> told = World.queue();
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        XnioLoop loop = new XnioLoop(worker.getIoThread());
         try (StandIn consul = new StandIn(x -> {
             asked.add(x.target);
             int call = asked.size();
@@ -63,7 +64,6 @@
             else if (call == 1 || call == 4) x.reply(200, "{\"call\":" + call + "}", "X-Consul-Index: " + (call + 4));
             else x.awaitEnd();
         })) {
-            XnioLoop loop = new XnioLoop(worker.getIoThread());
             Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, 250, 10).unsettled();
             BlockingQuery query = new BlockingQuery(
                     pool,
@@ -79,6 +79,7 @@
             assertThat(asked.subList(0, 5))
                     .containsExactly("/v1/x", "/v1/x?index=5&wait=20s", "/v1/x", "/v1/x", "/v1/x?index=8&wait=20s");
         } finally {
+            loop.execute(loop::close);
             worker.shutdownNow();
         }
     }
--- a/src/test/java/maplerail/front/ConnectionManagerTest.java
+++ b/src/test/java/maplerail/front/ConnectionManagerTest.java
@@ -120,6 +120,7 @@
                 World.await("it is gone", () -> connections.connections() == 0);
             }
         } finally {
+            loop.execute(loop::close);
             worker.shutdownNow();
         }
     }
@@ -199,6 +200,7 @@
             assertThat(most.get()).isBetween(1, 3 * AcceptThrottle.AT_ONCE);
         } finally {
             for (Socket socket : crowd) socket.close();
+            loop.execute(loop::close);
             worker.shutdownNow();
         }
     }
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -62,6 +62,7 @@
 
     @AfterEach
     void stop() {
+        loop.execute(loop::close);
         worker.shutdownNow();
     }
 
