Polls by hand, the second grant and the deferred limit of dials go: the loop's promise covers them

What callers saw: refusals and further attempts for what was only the gateway's own lateness. A dial was cancelled with its call, so a hedge or a client that left cost an engine a connection, and the next call dialled anew.

Cause: each timer that could take an arrival for lost had to look by hand (handle.poll), and some did not. LATE_MS granted dials a second time only if their own timer was over 50 ms late, and the doubled execute deferred nothing.

Change: attempts, releases, stalled streams, deadlines and reads rely on EventLoop.at. A dial goes on when its call ends, for as long as a connection may take, and is kept for the next call. A call that waits for its turn to dial fails only if no connection came up there meanwhile.

Tests: BrokerTest's loop now keeps the promise itself (what has come is handled before a timer), so the two tests of late answers assert the same; the end of drained streams is ordered by a timer there, as the drain does it.

--- a/src/main/java/maplerail/core/AdoptedStreams.java
+++ b/src/main/java/maplerail/core/AdoptedStreams.java
@@ -110,8 +110,6 @@
         /** An engine that falls silent in the middle of a stream is given up, as in {@link AttemptDispatcher}. */
         private void watchForStall(double afterMs) {
             stallTimer = loop.at(loop.nowMs() + afterMs, () -> {
-                // Timers run before what has come is read, where the loop is behind.
-                handle.poll();
                 if (closed) return;
                 double silentMs = paused ? 0 : loop.nowMs() - lastEventMs;
                 if (silentMs >= stallTimeoutMs) breakOff();
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -122,11 +122,6 @@
         registry.settle(record);
     }
 
-    /** Takes in what has arrived by now for a request. */
-    void poll(RequestRecord record) {
-        List.copyOf(record.attempts).forEach(AttemptDispatcher::poll);
-    }
-
     /** Ends the attempts of which nothing was sent yet, at engines that no longer take new work. */
     void withdrawUnsent() {
         for (RequestRecord record : registry.all()) {
@@ -179,7 +174,6 @@
      */
     private void watchForStall(Attempt attempt, double afterMs) {
         attempt.timeout = loop.at(loop.nowMs() + afterMs, () -> {
-            poll(attempt);
             double silentMs = attempt.paused ? 0 : loop.nowMs() - attempt.lastEventMs;
             double limitMs = attempt.record.request.payload().stallTimeoutMs();
             if (silentMs >= limitMs) abort(attempt, AttemptOutcome.RESET, AbortReason.STALLED);
@@ -187,13 +181,7 @@
         });
     }
 
-    /** Where the loop is behind, timers run before answers that arrived in time are read. */
-    private static void poll(Attempt attempt) {
-        if (!attempt.ended) attempt.handle.poll();
-    }
-
     private void onDeadline(Attempt attempt) {
-        poll(attempt);
         if (attempt.record.winner != attempt) abort(attempt, AttemptOutcome.TIMEOUT, AbortReason.DEADLINE);
     }
 
--- a/src/main/java/maplerail/core/AttemptHandle.java
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -8,9 +8,6 @@
     /** Cancels it: its observer is not called any more. */
     void abort();
 
-    /** Takes in what has arrived of the answer, before the event loop gets to it. */
-    default void poll() {}
-
     /** For the log, as {@code key=value}: the connection, and how much of the attempt was written to it. */
     default String describe() {
         return "";
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -131,7 +131,6 @@
 
     /** The policy gave no answer in time: none may be late for want of one. */
     private void onUnansweredDeadline(RequestRecord record) {
-        dispatcher.poll(record);
         if (record.answered || record.winner != null) return;
         log.accept("request not answered by its deadline request=" + record.number);
         fail(record.number, Reason.DEADLINE);
@@ -203,12 +202,12 @@
 
     /**
      * Breaks a share of the running streams off, the oldest first, for a process that has no time to finish them: their
-     * clients ask for the rest elsewhere. Requests that do not stream yet go on.
+     * clients ask for the rest elsewhere. Requests that do not stream yet go on. To be called by a timer of the loop, so that
+     * what engines have finished has been passed on to its end.
      */
     public void breakOffStreams(double share) {
         List<RequestRecord> streams = registry.streaming();
         for (RequestRecord record : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
-            dispatcher.poll(record); // what its engine has finished is passed on to its end
             if (!registry.answer(record, Verdict.ERRORED)) continue;
             dispatcher.abandon(record);
             record.observer.onBroken();
--- a/src/main/java/maplerail/core/ReservationKeeper.java
+++ b/src/main/java/maplerail/core/ReservationKeeper.java
@@ -180,9 +180,7 @@
         for (Reservation reading : record.reservations.in(Phase.READING)) {
             Attempt read = reading.read();
             if (read.isUnsent()) continue;
-            // Where the loop is behind, timers run before answers that arrived in time are read.
-            read.handle.poll();
-            if (read.isInFlight() && unheardReads.isLost(read, loop.nowMs())) attempts.abortUnheard(read);
+            if (unheardReads.isLost(read, loop.nowMs())) attempts.abortUnheard(read);
         }
     }
 
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -24,7 +24,6 @@
     private final Reply reply;
     private final AnswerReader reader;
     private PooledConnection link;
-    private Runnable disconnect;
     private EventLoop.Timer limit;
     private boolean wrote;
     private boolean whole;
@@ -150,11 +149,10 @@
         read();
     }
 
-    /** While it has no connection: when to give up waiting for one, and how. */
-    void connecting(EventLoop.Timer alarm, Runnable cancel) {
+    /** Waits for a connection of which nothing is known yet until a timer fires. */
+    void waitUntil(EventLoop.Timer timer) {
         calm();
-        limit = alarm;
-        disconnect = cancel;
+        limit = timer;
     }
 
     boolean done() {
@@ -172,7 +170,6 @@
 
     void on(PooledConnection to) {
         calm();
-        disconnect = null;
         link = to;
         connection = to.describe();
         connectionOpenedMs = to.openedMs;
@@ -274,7 +271,6 @@
     private void finish() {
         done = true;
         calm();
-        if (disconnect != null) disconnect.run();
         if (link != null) link.close();
     }
 }
--- a/src/main/java/maplerail/net/EngineAttempt.java
+++ b/src/main/java/maplerail/net/EngineAttempt.java
@@ -20,11 +20,6 @@
         call.abort();
     }
 
-    @Override
-    public void poll() {
-        call.poll();
-    }
-
     @Override
     public String describe() {
         return call.describe();
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -189,7 +189,6 @@
 
         /** Gives up an answer whose end has not come by now. */
         final void endIncomplete() {
-            call.poll();
             if (!call.done()) call.fail();
         }
 
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -28,7 +28,6 @@
     private static final double RETIRE_SHARE = 0.5; // of the time after which the far side closes
     private static final double SETTLE_MS = 30; // after an answer, in which what else belongs to it would come
     private static final int MAX_CONNECTING = 24; // to one address: one that never answers must not take all
-    private static final double LATE_MS = 50; // of a timer, from which the loop is behind
     private static final double SWEEP_MS = 1_000;
     private static final OptionMap OPTIONS =
             OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
@@ -40,7 +39,7 @@
     private final int most;
     private final Map<InetSocketAddress, ArrayDeque<PooledConnection>> idle = new HashMap<>();
     private final Map<InetSocketAddress, Integer> connecting = new HashMap<>();
-    private final Map<InetSocketAddress, ArrayDeque<Call>> queued = new HashMap<>();
+    private final Map<InetSocketAddress, WaitingCalls> queued = new HashMap<>();
     private final Set<PooledConnection> links = new HashSet<>();
     private int connectingInAll;
     private long lastNumber;
@@ -48,6 +47,12 @@
     private double settleMs = SETTLE_MS;
     private Runnable beforeUse = () -> {};
 
+    /** The calls that wait for a connection to one address, and when one last came up there while any waited. */
+    private static final class WaitingCalls {
+        private final ArrayDeque<Call> calls = new ArrayDeque<>();
+        private double connectedMs = Double.NEGATIVE_INFINITY;
+    }
+
     /** Makes a pool of at most so many connections, which the far side closes after being idle for some time. */
     public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most) {
         this.loop = loop;
@@ -96,11 +101,20 @@
     }
 
     private void waitForConnection(InetSocketAddress to, ClientRequest request, Call call) {
-        ArrayDeque<Call> waiting = queued.computeIfAbsent(to, t -> new ArrayDeque<>());
-        // Guards against a release that waits behind a crowd of reads until what it lets go counts as pinned.
-        if (request.getMethod().equals(Methods.DELETE)) waiting.addFirst(call);
-        else waiting.addLast(call);
-        call.connecting(limit(call, () -> {}), () -> {});
+        WaitingCalls waiting = queued.computeIfAbsent(to, t -> new WaitingCalls());
+        // A release behind a crowd of reads would wait until what it releases has been held for too long.
+        if (request.getMethod().equals(Methods.DELETE)) waiting.calls.addFirst(call);
+        else waiting.calls.addLast(call);
+        limitWait(waiting, call);
+    }
+
+    /** Fails a call that has waited for as long as a connection may take, unless one has come up there meanwhile. */
+    private void limitWait(WaitingCalls waiting, Call call) {
+        double sinceMs = loop.nowMs();
+        call.waitUntil(loop.at(sinceMs + connectMs, () -> {
+            if (waiting.connectedMs >= sinceMs && call.waiting()) limitWait(waiting, call);
+            else call.failUnconnected();
+        }));
     }
 
     private boolean begin(InetSocketAddress to, Call call) {
@@ -126,8 +140,9 @@
     private void next(InetSocketAddress to) {
         if (!queued.containsKey(to)) return;
         beforeUse.run();
-        ArrayDeque<Call> waiting = queued.get(to);
-        if (waiting == null) return;
+        WaitingCalls waitingCalls = queued.get(to);
+        if (waitingCalls == null) return;
+        ArrayDeque<Call> waiting = waitingCalls.calls;
         waiting.removeIf(Call::done);
         while (!waiting.isEmpty()) {
             Call first = waiting.peekFirst();
@@ -135,19 +150,7 @@
             // Not simply the first: what is let go for one that nobody wants any more goes in front of all others.
             waiting.removeFirstOccurrence(first);
         }
-        if (waiting.isEmpty()) queued.remove(to, waiting);
-    }
-
-    /**
-     * When a call without a connection fails. Guards against a loop that is behind: it has not looked for that long,
-     * so a limit that it meets late says nothing of the engine and starts anew; what has come up is seen first.
-     */
-    private EventLoop.Timer limit(Call call, Runnable cancel) {
-        double due = loop.nowMs() + connectMs;
-        return loop.at(due, () -> {
-            if (loop.nowMs() - due > LATE_MS && call.waiting()) call.connecting(limit(call, cancel), cancel);
-            else loop.execute(() -> loop.execute(call::failUnconnected));
-        });
+        if (waiting.isEmpty()) queued.remove(to, waitingCalls);
     }
 
     /** The last one used that has been quiet since; a second answer right behind the first must not meet a request. */
@@ -177,14 +180,22 @@
         return true;
     }
 
+    /** Opens a connection for a call; one whose call has ended meanwhile is kept for the next. */
     private void connect(InetSocketAddress to, Call call) {
         LOG.debug("{}: connecting", to);
         connecting.merge(to, 1, Integer::sum);
         connectingInAll++;
         IoFuture<StreamConnection> coming = loop.thread().openStreamConnection(to, null, OPTIONS);
-        // Called off, it is closed: one that never comes up would hold a descriptor for minutes.
-        call.connecting(limit(call, coming::cancel), coming::cancel);
-        coming.addNotifier((future, none) -> loop.execute(() -> connected(to, call, future)), null);
+        EventLoop.Timer limit = loop.at(loop.nowMs() + connectMs, () -> {
+            call.failUnconnected();
+            coming.cancel(); // one that never comes up would hold a descriptor for minutes
+        });
+        coming.addNotifier(
+                (future, none) -> loop.execute(() -> {
+                    limit.cancel();
+                    connected(to, call, future);
+                }),
+                null);
     }
 
     private void connected(InetSocketAddress to, Call call, IoFuture<? extends StreamConnection> future) {
@@ -200,11 +211,13 @@
                     e.getMessage(),
                     links.size(),
                     connectingInAll);
-            call.fail(); // refused, or called off: then it is done already
+            call.failUnconnected(); // refused, or cancelled: then it has failed already
             next(to);
             return;
         }
         PooledConnection link = own(to, connection);
+        WaitingCalls waiting = queued.get(to);
+        if (waiting != null) waiting.connectedMs = loop.nowMs();
         beforeUse.run();
         if (call.wanted()) call.on(link);
         else keep(link);
--- a/src/main/java/maplerail/net/StateRelease.java
+++ b/src/main/java/maplerail/net/StateRelease.java
@@ -168,8 +168,6 @@
 
     /** Asks on a new connection, and other engines, for as long as nobody has answered. */
     private void askAnew() {
-        // What a loop that is behind has not read yet is no silence.
-        List.copyOf(open).forEach(ReleaseCall::poll);
         if (answered || ended) return;
         if (gate.isOpen()) {
             if (!askedAnew) call(holder, ConnectionChoice.NEW);
@@ -222,10 +220,6 @@
             silence = loop.at(loop.nowMs() + SILENT_MS, this::onSilence);
         }
 
-        void poll() {
-            if (!over) call.poll();
-        }
-
         private void onSilence() {
             if (over) return;
             // One that still waits for a connection keeps its place; the pool says so when it has none in time.
@@ -233,8 +227,6 @@
                 silence = loop.at(loop.nowMs() + SILENT_MS, this::onSilence);
                 return;
             }
-            call.poll();
-            if (over) return;
             LOG.debug("release not answered request={} engine={}", requestId, engine);
             finish();
             call.abort();
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -61,6 +61,7 @@
 
     private static final class TestLoop implements EventLoop {
         double now = 1_000;
+        Runnable arrivals = () -> {}; // handles what sockets have received, as the loop promises before each timer
         private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> Double.compare(a.at, b.at));
 
         private record Due(double at, Runnable task) {}
@@ -79,6 +80,8 @@
 
         void until(double time) {
             while (!due.isEmpty() && due.peek().at <= time) {
+                arrivals.run();
+                if (due.isEmpty() || due.peek().at > time) break;
                 Due one = due.poll();
                 now = Math.max(now, one.at);
                 one.task.run();
@@ -108,8 +111,7 @@
             wire.add("cut");
         }
 
-        @Override
-        public void poll() {
+        void handleArrivals() {
             Runnable now = come;
             come = () -> {};
             now.run();
@@ -461,6 +463,7 @@
             attempt.answer.onEvent(new byte[1]);
             attempt.answer.onEnded(AttemptOutcome.COMPLETED, 0);
         };
+        loop.arrivals = attempt::handleArrivals;
         loop.until(20_000);
         assertThat(caller).endsWith("event", "end").doesNotContain("broken", "fail DEADLINE");
         assertThat(outcomes()).containsExactly(AttemptOutcome.COMPLETED);
@@ -502,7 +505,9 @@
         take("a", send(WRITER));
         out.get(0).answer.onEvent(new byte[1]);
         out.get(0).come = () -> out.get(0).answer.onEnded(AttemptOutcome.COMPLETED, 0);
-        broker.breakOffStreams(1);
+        loop.arrivals = out.get(0)::handleArrivals;
+        loop.at(loop.now, () -> broker.breakOffStreams(1));
+        loop.until(loop.now);
         assertThat(caller).containsExactly("event", "end");
     }
 
