Reads are given up by proof or a writer's word; the estimate stays only where nobody may be asked

States whose readers reset new connections waited for the client's deadline.

Change: a read is given up if its reader answered a later one (readers serve in order of arrival) or was cut off since (two new connections failed, nothing heard). Where settings permit places ahead (earlyPairing), a writer of the policy's choice is asked on the page's call; its answer says whether the read is in flight. A place that it holds is where the policy writes. The estimate with its budget is left for settings that permit no such call. Whatever place may be held is released.

--- a/src/main/java/maplerail/config/SettingsReader.java
+++ b/src/main/java/maplerail/config/SettingsReader.java
@@ -127,7 +127,8 @@
                 limits.at("secondCopies").flag(),
                 limits.at("retryAfter").flag(),
                 limits.at("maxRetryAfterMs").number(0),
-                family.at("readInPlace").flag());
+                family.at("readInPlace").flag(),
+                family.at("earlyPairing").flag());
     }
 
     private static RoutingSettings.Rules rules(Tree root, Tree family) {
--- a/src/main/java/maplerail/core/Attempt.java
+++ b/src/main/java/maplerail/core/Attempt.java
@@ -19,6 +19,8 @@
     double endedMs;
     /** Its engine has said something of it, which proves that it arrived. */
     boolean answered;
+    /** Of a read: what writers have said of it. */
+    final ReadInquiry inquiry = new ReadInquiry();
     /** Why the gateway ended it; null while it is in flight, or if its engine or connection ended it. */
     AbortReason abortReason;
     /** It ended, and may have been executed. */
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -249,6 +249,16 @@
             abort(read, AttemptOutcome.CANCELLED, AbortReason.UNHEARD);
         }
 
+        @Override
+        public void onUnheard(Attempt read) {
+            routing.report(new RoutingEvent.ReadUnheard(read.record.number, read.number));
+        }
+
+        @Override
+        public void onPlaceHeld(RequestRecord record, long writer) {
+            routing.report(new RoutingEvent.PlaceHeld(record.number, writer));
+        }
+
         /** The policy is told what a writer would say. */
         @Override
         public void endWithStateLost(Attempt write) {
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -17,6 +17,7 @@
 import maplerail.routing.RoutingAction.LogMessage;
 import maplerail.routing.RoutingAction.RejectRequest;
 import maplerail.routing.RoutingAction.ReleaseState;
+import maplerail.routing.RoutingAction.ReservePlace;
 import maplerail.routing.RoutingAction.SetTimer;
 import maplerail.routing.RoutingAction.StartAttempt;
 import maplerail.routing.RoutingEvent;
@@ -304,6 +305,12 @@
             if (record != null) reservations.releaseUnused(record);
         }
 
+        @Override
+        public void onReservePlace(ReservePlace order) {
+            RequestRecord record = registry.find(order.requestId());
+            if (record != null && directory.isReady(order.engine())) reservations.askWriter(record, order.engine());
+        }
+
         @Override
         public void onRejectRequest(RejectRequest order) {
             RequestRecord record = registry.find(order.requestId());
--- a/src/main/java/maplerail/core/DecisionLog.java
+++ b/src/main/java/maplerail/core/DecisionLog.java
@@ -148,6 +148,11 @@
             line(nowMs, "release_state request=%d", a.requestId());
         }
 
+        @Override
+        public void onReservePlace(RoutingAction.ReservePlace a) {
+            line(nowMs, "reserve_place request=%d engine=%x", a.requestId(), a.engine());
+        }
+
         @Override
         public void onRejectRequest(RoutingAction.RejectRequest a) {
             line(nowMs, "reject request=%d retry_after_ms=%.0f", a.requestId(), a.retryAfterMs());
--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** The port through which attempts are sent to engines. It never repeats an attempt by itself. */
 public interface EngineTransport {
@@ -22,6 +23,19 @@
     /** Closes the connections to an engine on which nothing is in flight: they may have fallen silent with no error. */
     void closeIdleConnections(long engine);
 
+    /**
+     * Asks a writer to hold a place for a request. Its answer tells whether a read of the request is in flight at any reader.
+     *
+     * @param engine the writer
+     * @param requestId the client's id of the request
+     * @param connection whether a connection that was used before will do
+     * @param onAnswer is called once
+     */
+    default void reservePlace(
+            long engine, String requestId, ConnectionChoice connection, Consumer<PlaceAnswer> onAnswer) {
+        onAnswer.accept(PlaceAnswer.UNKNOWN);
+    }
+
     /**
      * Releases the state that is held for a request, with retries until its holder has answered or a time has come. The call
      * goes to the engine that may hold it. Where that one does not answer at once, others are asked as well, since any engine
--- /dev/null
+++ b/src/main/java/maplerail/core/ReadInquiry.java
@@ -0,0 +1,53 @@
+package maplerail.core;
+
+/** What is known from asking writers whether a read is still in flight. */
+final class ReadInquiry {
+    /** After an answer, when it is asked again: the read may have ended since. */
+    private static final double ASK_AGAIN_MS = 300;
+
+    /** The same after no answer, or where there was no writer to ask. */
+    private static final double RETRY_MS = 50;
+
+    private double notBeforeMs = Double.NEGATIVE_INFINITY;
+    private boolean asked;
+    private boolean open;
+    private boolean failed;
+
+    /** Notes that a writer is wanted; if none is asked, another may be wanted after a while. */
+    void onWanted(double nowMs) {
+        notBeforeMs = nowMs + RETRY_MS;
+    }
+
+    /** Notes that a writer is being asked. */
+    void onAsked() {
+        asked = true;
+        open = true;
+    }
+
+    /** Notes a writer's answer, or that there was none. */
+    void onAnswer(PlaceAnswer answer, double nowMs) {
+        open = false;
+        failed = answer == PlaceAnswer.UNKNOWN;
+        notBeforeMs = nowMs + (failed ? RETRY_MS : ASK_AGAIN_MS);
+    }
+
+    /** True if a writer was ever asked: it may hold a place. */
+    boolean wasAsked() {
+        return asked;
+    }
+
+    /** True while an answer is awaited. */
+    boolean isOpen() {
+        return open;
+    }
+
+    /** True if the last writer that was asked told nothing. */
+    boolean hasFailed() {
+        return failed;
+    }
+
+    /** When the next writer may be asked, in milliseconds; before everything as long as none was. */
+    double notBeforeMs() {
+        return notBeforeMs;
+    }
+}
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -68,6 +68,11 @@
         };
     }
 
+    /** A writer has said that a read is not in flight whose answer was not heard. */
+    void readLost() {
+        metrics.count(EventCount.READS_LOST);
+    }
+
     /** A state has been reserved for as long as the settings allow and is released. */
     void reservationOverdue(RequestRecord record) {
         metrics.count(EventCount.RESERVATIONS_OVERDUE);
--- a/src/main/java/maplerail/core/RequestTerms.java
+++ b/src/main/java/maplerail/core/RequestTerms.java
@@ -9,7 +9,7 @@
  * The terms of a request: those of the settings in force when it was taken. It keeps them to its end, whatever the
  * settings become meanwhile.
  */
-record RequestTerms(int maxAttempts, double reservationLimitMs, List<ClassTerms> classes) {
+record RequestTerms(int maxAttempts, double reservationLimitMs, boolean placesAhead, List<ClassTerms> classes) {
 
     /**
      * The terms of one class.
@@ -25,7 +25,10 @@
             classes[i] = new ClassTerms(name, metrics.of(name), keyTtlMs(settings, i));
         }
         return new RequestTerms(
-                settings.limits().maxAttempts(), settings.rules().reservationLimitMs(), List.of(classes));
+                settings.limits().maxAttempts(),
+                settings.rules().reservationLimitMs(),
+                settings.limits().placesAhead(),
+                List.of(classes));
     }
 
     private static double keyTtlMs(RoutingSettings settings, int index) {
--- a/src/main/java/maplerail/core/ReservationKeeper.java
+++ b/src/main/java/maplerail/core/ReservationKeeper.java
@@ -45,6 +45,9 @@
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final RequestEventLog events;
+    /** After a writer has said that no read is in flight, for its answer to be handled if it comes all the same. */
+    private static final double ENDED_READ_ANSWER_MS = 30;
+
     private final UnheardReadDetector unheardReads = new UnheardReadDetector();
     private Attempts attempts;
     private int pending;
@@ -54,6 +57,12 @@
         /** Ends a read whose answer has not come in time. */
         void abortUnheard(Attempt read);
 
+        /** Has a writer asked whether a read is in flight; {@link #askWriter} is to be called with the writer. */
+        void onUnheard(Attempt read);
+
+        /** A writer holds a place for a request. */
+        void onPlaceHeld(RequestRecord record, long writer);
+
         /** Ends a write of which nothing was sent, as its state is released. */
         void endWithStateLost(Attempt write);
     }
@@ -127,12 +136,16 @@
             reservations.put(Reservation.held(read.engine));
             return;
         }
+        if (isAnswer(outcome)) unheardReads.onDeclined(read);
         if (outcome == AttemptOutcome.UNREACHABLE) unheardReads.onUnreachable(read);
+        if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.RESET) {
+            unheardReads.onConnectionFailed(read);
+        }
         Reservation known = reservations.at(read.engine);
         if (known == null || known.read() != read) return;
         reservations.remove(known);
         // A read that was cancelled may have been completed just then.
-        if (outcome.provesNoEffect() && !known.mayReappear()) return;
+        if (outcome.provesNoEffect() && !known.mayReappear() && !read.inquiry.wasAsked()) return;
         if (!reservations.has(Phase.HELD)) reservations.restartLimit(loop.nowMs());
         reservations.put(Reservation.abandoned(read.engine, known.mayReappear() || !read.handle.isPromptRead()));
     }
@@ -180,10 +193,62 @@
         for (Reservation reading : record.reservations.in(Phase.READING)) {
             Attempt read = reading.read();
             if (read.isUnsent()) continue;
-            if (unheardReads.isLost(read, loop.nowMs())) attempts.abortUnheard(read);
+            if (isLost(read)) attempts.abortUnheard(read);
+            else if (mayAsk(read) && loop.nowMs() >= unheardReads.askAtMs(read, loop.nowMs())) wantWriter(read);
         }
     }
 
+    private void wantWriter(Attempt read) {
+        read.inquiry.onWanted(loop.nowMs());
+        attempts.onUnheard(read);
+    }
+
+    /** An estimate counts only where no writer can be asked. */
+    private boolean isLost(Attempt read) {
+        double nowMs = loop.nowMs();
+        if (unheardReads.isProvenLost(read, nowMs)) return true;
+        boolean answersTell = read.record.terms.placesAhead() && !read.inquiry.hasFailed();
+        return !answersTell && unheardReads.isLost(read, nowMs);
+    }
+
+    private static boolean mayAsk(Attempt read) {
+        return read.record.terms.placesAhead() && !read.inquiry.isOpen();
+    }
+
+    /** Asks a writer whether a read of a request is in flight; the routing policy has chosen the writer. */
+    void askWriter(RequestRecord record, long writer) {
+        for (Reservation reading : record.reservations.in(Phase.READING)) {
+            Attempt read = reading.read();
+            if (read.isUnsent() || !mayAsk(read)) continue;
+            read.inquiry.onAsked();
+            // An open connection that was silent was one of a crowd: the next writer is asked on a new one.
+            ConnectionChoice connection = read.inquiry.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
+            transport.reservePlace(
+                    writer, record.request.id(), connection, answer -> onPlaceAnswer(read, writer, answer));
+            return;
+        }
+    }
+
+    private void onPlaceAnswer(Attempt read, long writer, PlaceAnswer answer) {
+        RequestRecord record = read.record;
+        read.inquiry.onAnswer(answer, loop.nowMs());
+        if (!read.isInFlight()) {
+            // The release that followed the read may have overtaken the place.
+            if (answer != PlaceAnswer.NOT_HELD) record.reservations.put(Reservation.abandoned(writer, false));
+        } else if (answer == PlaceAnswer.HELD) {
+            attempts.onPlaceHeld(record, writer);
+        } else if (answer == PlaceAnswer.NO_READ) {
+            loop.at(loop.nowMs() + ENDED_READ_ANSWER_MS, () -> endLost(read));
+        }
+        review(record);
+    }
+
+    private void endLost(Attempt read) {
+        if (!read.isInFlight()) return;
+        events.readLost();
+        attempts.abortUnheard(read);
+    }
+
     /** True while a read is in flight of which anything was sent: a release would undo it. */
     private static boolean isReading(RequestRecord record) {
         return record.reservations.in(Phase.READING).stream()
@@ -221,6 +286,9 @@
         for (Reservation reading : record.reservations.in(Phase.READING)) {
             if (!reading.read().isUnsent()) {
                 nextMs = Math.min(nextMs, unheardReads.judgeAtMs(reading.read(), loop.nowMs()));
+                if (mayAsk(reading.read())) {
+                    nextMs = Math.min(nextMs, unheardReads.askAtMs(reading.read(), loop.nowMs()));
+                }
             }
         }
         // What waits for a read in flight is looked at when that one has ended, which its own deadline bounds.
--- a/src/main/java/maplerail/core/UnheardReadDetector.java
+++ b/src/main/java/maplerail/core/UnheardReadDetector.java
@@ -10,16 +10,27 @@
  * Judges of a read that should have ended whether its answer was lost or its reader is slow. The state of a lost one is held
  * and has to be released; a release of a slow one undoes it, and where all readers are slow that would make them slower.
  *
- * <p>A read is due when it has taken as long as reads took lately, and most of the limit on what is held. Then it counts as lost
- * if its reader has answered one that was written later. It counts as slow for a while if the reader has answered on another
- * connection that is as old: so not all that were open have fallen silent. Else it is lost as far as a budget allows. The
- * reads that follow lost ones, on new connections, tell which it was: one that is answered soon proves silence and fills the
- * budget, one that takes long as well proves that reads are slow and empties it.
+ * <p>A read is proven lost if its reader has answered one that was written later, as readers serve in the order of arrival;
+ * or if the reader was cut off since: two connections that were opened to it after the read was written failed, and nothing
+ * was heard of it, so that the older ones are silent for good. Where the settings permit, a writer is asked about a read
+ * without such a proof.
+ *
+ * <p>Where nobody can be asked, {@link #isLost} estimates. A read is due when it has taken as long as reads took lately, and
+ * most of the limit on what is held. It counts as slow for a while if the reader has answered on another connection that is
+ * as old: so not all that were open have fallen silent. Else it is lost as far as a budget allows. The reads that follow lost
+ * ones, on new connections, tell which it was: one that is answered soon proves silence and fills the budget, one that takes
+ * long as well proves that reads are slow and empties it.
  */
 final class UnheardReadDetector {
     /** Of the limit on what is held, beyond the expected time; the rest, and 300 ms, are for the release. */
     private static final double SHARE_OF_LIMIT = 0.9;
 
+    /** The same for a read that is proven lost. */
+    private static final double PROVEN_SHARE_OF_LIMIT = 0.6;
+
+    /** The same for asking a writer, whose answer takes up to 300 ms. */
+    private static final double ASKED_SHARE_OF_LIMIT = 0.7;
+
     /** Of the limit, beyond the expected time, for which an answer on another connection speaks for a slow reader. */
     private static final double EXCUSED_LIMITS = 2;
 
@@ -48,6 +59,29 @@
         private final DecayingAverage times = new DecayingAverage(ENGINE_SAMPLES, ENGINE_MEMORY_MS);
         private final Deque<Answer> answers = new ArrayDeque<>();
         private double lastWrittenMs = Double.NEGATIVE_INFINITY;
+        /** When the last two attempts began whose new connections failed; none since the reader was heard. */
+        private double lastFailedMs = Double.NEGATIVE_INFINITY;
+
+        private double failedBeforeMs = Double.NEGATIVE_INFINITY;
+
+        private void onConnectionFailed(double beganMs) {
+            failedBeforeMs = lastFailedMs;
+            lastFailedMs = beganMs;
+        }
+
+        private void onHeard() {
+            lastFailedMs = Double.NEGATIVE_INFINITY;
+            failedBeforeMs = Double.NEGATIVE_INFINITY;
+        }
+
+        private boolean hasOvertaken(Attempt read) {
+            return lastWrittenMs > read.writtenMs();
+        }
+
+        /** One connection alone may be lost, so two attempts have to have failed that began after the read was written. */
+        private boolean wasCutOffSince(Attempt read) {
+            return failedBeforeMs > read.writtenMs();
+        }
     }
 
     /** A read was answered. */
@@ -55,8 +89,8 @@
         double elapsedMs = nowMs - read.writtenMs();
         if (provesSilence(read, elapsedMs)) budget = PROVEN_BUDGET;
         else if (budget < BUDGET) budget = Math.min(BUDGET, budget + BUDGET_PER_ANSWER);
-        if (readers.size() >= MAX_READERS) readers.clear();
-        Reader reader = readers.computeIfAbsent(read.engine, engine -> new Reader());
+        Reader reader = reader(read.engine);
+        reader.onHeard();
         reader.times.add(elapsedMs, nowMs);
         reader.lastWrittenMs = Math.max(reader.lastWrittenMs, read.writtenMs());
         reader.answers.addLast(new Answer(nowMs, read.handle.connectionOpenedMs()));
@@ -64,6 +98,23 @@
         allTimes.add(elapsedMs, nowMs);
     }
 
+    private Reader reader(long engine) {
+        if (readers.size() >= MAX_READERS) readers.clear();
+        return readers.computeIfAbsent(engine, number -> new Reader());
+    }
+
+    /** A reader declined a read, or failed on it: it can be reached. */
+    void onDeclined(Attempt read) {
+        reader(read.engine).onHeard();
+    }
+
+    /** A read ended as its connection did not come up, or was reset before any answer. */
+    void onConnectionFailed(Attempt read) {
+        double openedMs = read.handle.connectionOpenedMs();
+        boolean isNew = openedMs >= read.sentMs || openedMs == Double.NEGATIVE_INFINITY;
+        if (isNew) reader(read.engine).onConnectionFailed(read.sentMs);
+    }
+
     /** No connection came up for a read: after a lost one that speaks for a network that loses things, not for slow readers. */
     void onUnreachable(Attempt read) {
         if (followsLostRead(read)) budget = Math.min(PROVEN_BUDGET, budget + 1);
@@ -78,28 +129,39 @@
 
     /** When a read is to be judged next, if nothing is heard of it. */
     double judgeAtMs(Attempt read, double nowMs) {
-        double dueMs = dueMs(read, nowMs);
+        double dueMs = dueMs(read, PROVEN_SHARE_OF_LIMIT, nowMs);
         return nowMs < dueMs ? dueMs : nowMs + RECHECK_MS;
     }
 
-    /** True if a read is to be given up now, which uses up budget. */
+    /** When a writer is to be asked about a read, if nothing is heard of it. */
+    double askAtMs(Attempt read, double nowMs) {
+        return Math.max(read.inquiry.notBeforeMs(), dueMs(read, ASKED_SHARE_OF_LIMIT, nowMs));
+    }
+
+    /** True if the answer of a read is lost for certain. */
+    boolean isProvenLost(Attempt read, double nowMs) {
+        if (nowMs < dueMs(read, PROVEN_SHARE_OF_LIMIT, nowMs)) return false;
+        Reader reader = readers.get(read.engine);
+        return reader != null && (reader.hasOvertaken(read) || reader.wasCutOffSince(read));
+    }
+
+    /** True if a read of which there is no proof is to be given up now, which uses up budget. */
     boolean isLost(Attempt read, double nowMs) {
-        if (nowMs < dueMs(read, nowMs)) return false;
+        if (nowMs < dueMs(read, SHARE_OF_LIMIT, nowMs)) return false;
         if (followsLostRead(read) && isWithinExcuse(read, nowMs)) {
             // Its connection was opened after the silence began, if it was one, and it takes long all the same.
             budget = 0;
             return false;
         }
         Reader reader = readers.get(read.engine);
-        boolean overtaken = reader != null && reader.lastWrittenMs > read.writtenMs();
-        if (reader != null && !overtaken && isExcused(read, reader, nowMs)) return false;
+        if (reader != null && isExcused(read, reader, nowMs)) return false;
         if (budget < 1) return false;
         budget -= 1;
         return true;
     }
 
-    private double dueMs(Attempt read, double nowMs) {
-        return expectedEndMs(read, nowMs) + SHARE_OF_LIMIT * limitMs(read);
+    private double dueMs(Attempt read, double shareOfLimit, double nowMs) {
+        return expectedEndMs(read, nowMs) + shareOfLimit * limitMs(read);
     }
 
     private static double limitMs(Attempt read) {
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -23,6 +23,9 @@
     RELEASES_UNANSWERED,
     /** Releases that were answered only after a call had gone unanswered. */
     RELEASES_ANSWERED_LATE,
+    /** Writers asked whether a read is in flight, and reads that were not any more though their answers were not heard. */
+    PLACES_ASKED,
+    READS_LOST,
     /** Requests refused because the process sends its clients away. */
     REQUESTS_REFUSED_DRAINING,
     /** Clients' connections that the program ended, by its reason. */
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import maplerail.config.ConfigException;
 import maplerail.config.EngineList;
@@ -25,7 +26,9 @@
 import maplerail.core.ConnectionChoice;
 import maplerail.core.EngineTransport;
 import maplerail.core.InferenceRequest;
+import maplerail.core.PlaceAnswer;
 import maplerail.core.ReleaseGate;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
@@ -234,6 +237,13 @@
         }
     }
 
+    @Override
+    public void reservePlace(
+            long engine, String requestId, ConnectionChoice connection, Consumer<PlaceAnswer> onAnswer) {
+        metrics.count(EventCount.PLACES_ASKED);
+        new PlaceCall(pool, address(engine), requestId, onAnswer).start(connection);
+    }
+
     @Override
     public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {
         InetSocketAddress known = address(engine);
--- a/src/main/java/maplerail/routing/RoutingAction.java
+++ b/src/main/java/maplerail/routing/RoutingAction.java
@@ -17,6 +17,9 @@
         /** Releases what engines hold for a request. */
         default void onReleaseState(ReleaseState order) {}
 
+        /** Asks a writer to hold a place. */
+        default void onReservePlace(ReservePlace order) {}
+
         /** Rejects a request. */
         default void onRejectRequest(RejectRequest order) {}
 
@@ -60,6 +63,14 @@
         }
     }
 
+    /** Ask a writer to hold a place for a request that is being read. */
+    record ReservePlace(long requestId, long engine) implements RoutingAction {
+        @Override
+        public void accept(Handler handler) {
+            handler.onReservePlace(this);
+        }
+    }
+
     /** End the request; its client may safely retry, after {@code retryAfterMs} if that is above 0. */
     record RejectRequest(long requestId, double retryAfterMs) implements RoutingAction {
         @Override
--- a/src/main/java/maplerail/routing/RoutingEvent.java
+++ b/src/main/java/maplerail/routing/RoutingEvent.java
@@ -22,6 +22,12 @@
         /** Handles the end of an attempt. */
         default void onAttemptEnded(AttemptEnded end) {}
 
+        /** Handles a read that has taken long without a word of its reader. */
+        default void onReadUnheard(ReadUnheard read) {}
+
+        /** Handles a place that a writer holds for a request. */
+        default void onPlaceHeld(PlaceHeld place) {}
+
         /** Handles a request whose client no longer waits. */
         default void onRequestAbandoned(RequestAbandoned abandoned) {}
 
@@ -141,6 +147,25 @@
         }
     }
 
+    /**
+     * A read has taken longer than reads did lately, and its answer may have been lost. A {@link RoutingAction.ReservePlace}
+     * finds out: its answer says whether the read is still in flight.
+     */
+    record ReadUnheard(long requestId, int attempt) implements RoutingEvent {
+        @Override
+        public void accept(Handler handler) {
+            handler.onReadUnheard(this);
+        }
+    }
+
+    /** A writer holds a place for a request; the state moves there as soon as it has been read, and then only there. */
+    record PlaceHeld(long requestId, long engine) implements RoutingEvent {
+        @Override
+        public void accept(Handler handler) {
+            handler.onPlaceHeld(this);
+        }
+    }
+
     /** Nobody waits for the request any more. */
     record RequestAbandoned(long requestId) implements RoutingEvent {
         @Override
--- a/src/main/java/maplerail/routing/RoutingSettings.java
+++ b/src/main/java/maplerail/routing/RoutingSettings.java
@@ -75,6 +75,7 @@
      * @param retryAfter whether rejected clients can be told when to retry
      * @param maxRetryAfterMs the longest wait that they may be told
      * @param writersRead whether writers can read prompts too
+     * @param placesAhead whether a writer can be asked to hold a place for a request that is still being read
      */
     public record Limits(
             int maxAttempts,
@@ -82,7 +83,20 @@
             boolean hedging,
             boolean retryAfter,
             double maxRetryAfterMs,
-            boolean writersRead) {}
+            boolean writersRead,
+            boolean placesAhead) {
+
+        /** Limits of a deployment whose writers hold no places ahead. */
+        public Limits(
+                int maxAttempts,
+                boolean cancel,
+                boolean hedging,
+                boolean retryAfter,
+                double maxRetryAfterMs,
+                boolean writersRead) {
+            this(maxAttempts, cancel, hedging, retryAfter, maxRetryAfterMs, writersRead, false);
+        }
+    }
 
     /**
      * The figures of the rules that the policy has to keep.
--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -157,6 +157,8 @@
         int inFlight;
         /** The reader whose state waits, whether any may be held, and since when it counts as reserved. */
         EngineState stateHolder;
+        /** The writer that holds a place for it: the state goes there by itself. */
+        EngineState placeHolder;
         boolean holdsState;
         double reservedMs, firstTokenMs;
         AttemptState mayHaveRun; // the first that may have been
@@ -257,6 +259,23 @@
             if (attempt != null) end(attempt, ended);
         }
 
+        /** Any writer can tell whether a read is in flight; asked is the one that would be written to. */
+        @Override
+        public void onReadUnheard(RoutingEvent.ReadUnheard read) {
+            AttemptState attempt = inFlight(read.requestId(), read.attempt());
+            if (attempt == null || !attempt.request.limits.placesAhead()) return;
+            RequestState request = attempt.request;
+            EngineState writer = request.placeHolder != null && request.placeHolder.isReady()
+                    ? request.placeHolder : selectWriter(request, null, attempt.engine);
+            if (writer != null) actions.add(new RoutingAction.ReservePlace(request.id, writer.id));
+        }
+
+        @Override
+        public void onPlaceHeld(RoutingEvent.PlaceHeld place) {
+            RequestState request = requests.get(place.requestId());
+            if (request != null) request.placeHolder = engines.get(place.engine());
+        }
+
         @Override
         public void onRequestAbandoned(RoutingEvent.RequestAbandoned abandoned) {
             close(requests.get(abandoned.requestId()));
@@ -366,6 +385,8 @@
         request.holdsState |= ended.outcome() == AttemptOutcome.PROMPT_READ;
         settleLoad(attempt, ended.outcome());
         recordOutcome(attempt, ended);
+        // What an attempt that failed had held is released before the next one.
+        if (ended.outcome() != AttemptOutcome.PROMPT_READ) request.placeHolder = null;
         if (request.phase == Phase.CLOSED) cleanUp(request);
         else if (ended.outcome() == AttemptOutcome.COMPLETED || ended.requestClosed()) close(request);
         else if (ended.outcome() == AttemptOutcome.PROMPT_READ) onPromptRead(request, attempt);
@@ -559,16 +580,18 @@
 
     private void write(RequestState request, EngineState last) {
         request.phase = Phase.HOLDING;
-        EngineState writer = selectWriter(request, last);
+        EngineState held = request.placeHolder;
+        request.placeHolder = null;
+        boolean hasPlace = held != null && held != last && held.isReady() && mayBeSentTo(request, held);
+        EngineState writer = hasPlace ? held : selectWriter(request, last, request.stateHolder);
         if (writer != null && start(new AttemptState(request, writer, false))) request.phase = Phase.WRITING;
         else if (request.phase == Phase.HOLDING) selectLater(request);
     }
 
-    private EngineState selectWriter(RequestState request, EngineState last) {
+    private EngineState selectWriter(RequestState request, EngineState last, EngineState holder) {
         double average = averageReported();
         List<EngineState> able = eligible(request, last, e -> e.role != EngineRole.READER);
-        int near = able.isEmpty() ? 0 : nearCell(request.stateHolder, able);
-        EngineState holder = request.stateHolder;
+        int near = able.isEmpty() ? 0 : nearCell(holder, able);
         return lowest(able, e -> load(e, request, average) + distance(holder, e, near), random.nextLong());
     }
 
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -56,6 +56,7 @@
     private Object client; // what the caller gives up of itself, if it can
     private final List<RoutingAction> atEnd =
             new ArrayList<>(); // what the module orders when it hears an attempt ended
+    private final List<Consumer<PlaceAnswer>> placeAnswers = new ArrayList<>();
     private Broker broker;
     private RequestHandle inheritedTicket;
 
@@ -183,6 +184,12 @@
             @Override
             public void closeIdleConnections(long engine) {}
 
+            @Override
+            public void reservePlace(
+                    long engine, String id, ConnectionChoice connection, Consumer<PlaceAnswer> onAnswer) {
+                placeAnswers.add(onAnswer);
+            }
+
             @Override
             public void release(long engine, Set<Long> others, String id, double untilMs, ReleaseGate gate) {
                 released.add(engine + "/" + id);
@@ -797,6 +804,67 @@
         assertThat(log).anyMatch(line -> line.contains("outcome=CANCELLED") && line.contains("aborted_for=UNHEARD"));
     }
 
+    /** A read of which nothing was heard for long, and a writer that was asked about it. */
+    private void takeUnheardRead() {
+        RoutingSettings.Limits limits = new RoutingSettings.Limits(5, true, true, true, 1_000, false, true);
+        RoutingSettings.Rules rules = new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1);
+        broker.changeSettings(
+                new RoutingSettings(1, 1, 0, 2, false, 1, List.of(), List.of(), List.of(), limits, rules),
+                List.of("a", "b", "c"));
+        take("a", send(READER));
+        next.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.until(loop.now + 860);
+        assertThat(told).contains(new RoutingEvent.ReadUnheard(1, 0));
+        assertThat(placeAnswers).hasSize(1);
+    }
+
+    /** Guards against a state that is held because its read's answer was lost. */
+    @Test
+    void aReadIsGivenUpOnceAWriterSaysThatItIsNotInFlight() {
+        takeUnheardRead();
+        placeAnswers.get(0).accept(PlaceAnswer.NO_READ);
+        loop.until(loop.now + 31);
+        assertThat(out.get(0).aborted).isTrue();
+        assertThat(released).containsExactly("1/a");
+    }
+
+    /** Guards against reads of slow readers that are given up, read anew, and make them slower. */
+    @Test
+    void aReadThatAWriterKnowsToBeInFlightIsWaitedForAndAskedAboutAgain() {
+        takeUnheardRead();
+        placeAnswers.get(0).accept(PlaceAnswer.HELD);
+        assertThat(told).contains(new RoutingEvent.PlaceHeld(1, WRITER));
+        next.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.until(loop.now + 310);
+        assertThat(placeAnswers).hasSize(2);
+        placeAnswers.get(1).accept(PlaceAnswer.NOT_HELD);
+        loop.until(loop.now + 2_000);
+        assertThat(out.get(0).aborted).isFalse();
+        assertThat(released).isEmpty();
+    }
+
+    /** Guards against a read that is given up though its answer is just arriving. */
+    @Test
+    void anAnswerRightBehindTheWordOfAWriterCounts() {
+        takeUnheardRead();
+        placeAnswers.get(0).accept(PlaceAnswer.NO_READ);
+        next.add(send(WRITER));
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
+        loop.until(loop.now + 100);
+        assertThat(outcomes()).containsExactly(AttemptOutcome.PROMPT_READ);
+        assertThat(released).isEmpty();
+    }
+
+    /** Guards against a place that is held behind the release that was to give it back. */
+    @Test
+    void aPlaceHeldAfterItsReadHadFailedIsReleased() {
+        takeUnheardRead();
+        out.get(0).answer.onEnded(AttemptOutcome.OVERLOADED, 0);
+        assertThat(released).as("a place may be held").containsExactly("1/a");
+        placeAnswers.get(0).accept(PlaceAnswer.HELD);
+        assertThat(released).containsExactly("1/a", "2/a");
+    }
+
     /** A reader that hangs finishes what it read once it goes on, however long after the request has ended. */
     @Test
     void whatAReaderThatHangsMayLeaveIsReleasedUntilItHasAnsweredItself() {
