--- a/src/test/java/maplerail/routing/d2lpm/PolicyHarness.java
+++ b/src/test/java/maplerail/routing/d2lpm/PolicyHarness.java
@@ -33,6 +33,7 @@
     boolean hedging = true;
     boolean subscribes;
     boolean writersRead;
+    boolean placesAhead;
     boolean retryAfter;
     double overQuotaWeight = 1;
     long seed = 1;
@@ -62,7 +63,7 @@
                 List.of(cheap, dear),
                 tenants,
                 kinds,
-                new Limits(5, cancel, hedging, retryAfter, 1_000, writersRead),
+                new Limits(5, cancel, hedging, retryAfter, 1_000, writersRead, placesAhead),
                 rules));
         list(EndpointUpdateKind.REMEMBERED, members);
         return this;
