Pool, loop: dials bounded in number, histograms of dials, turns and timers in the figures

What callers saw: a gateway that was behind dialled without bound over all engines (24 to each), and nothing in its figures told dials, turns of the loop and late timers apart.

Change: at most 64 connections are on their way to engines at once, releases may use 16 more, as what they release is held meanwhile. Calls beyond wait for their turn, as they did at the bound of one engine, and go on whenever a dial ends. New figures: dials_begun, _up, _kept, _failed, _given_up, and cumulative histograms dial_ms, loop_turn_ms and timer_delay_ms.

Evidence: PoolTest has 100 calls to five servers and a release on a loop that does not come to its sockets: 64 dials, then 65, and all 101 calls are answered (by reading, 100 and 101 before: the only bound was the one for each server; not run there). No setting is new.

--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -26,6 +26,12 @@
     /** Writers asked whether a read is in flight, and reads that were not any more though their answers were not heard. */
     PLACES_ASKED,
     READS_LOST,
+    /** Connections to engines begun, and what became of them; kept are those that came up after their calls had ended. */
+    DIALS_BEGUN,
+    DIALS_UP,
+    DIALS_KEPT,
+    DIALS_FAILED,
+    DIALS_GIVEN_UP,
     /** Requests refused because the process sends its clients away. */
     REQUESTS_REFUSED_DRAINING,
     /** Clients' connections that the program ended, by its reason. */
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -23,6 +23,9 @@
     private final AtomicLong loaded = new AtomicLong();
     private final AtomicLong invalid = new AtomicLong();
     private final AtomicLong lists = new AtomicLong();
+    private final Histogram timerDelays = new Histogram("timer_delay_ms");
+    private final Histogram loopTurns = new Histogram("loop_turn_ms");
+    private final Histogram dials = new Histogram("dial_ms");
     private final AtomicLongArray events = new AtomicLongArray(EventCount.values().length);
     private volatile int listed;
     private volatile int avoided;
@@ -90,6 +93,21 @@
         events.incrementAndGet(event.ordinal());
     }
 
+    /** How late timers ran. */
+    public Histogram timerDelays() {
+        return timerDelays;
+    }
+
+    /** How long it took from an order for a look at the sockets until all that was ready had been handled. */
+    public Histogram loopTurns() {
+        return loopTurns;
+    }
+
+    /** How long connections to engines took to come up. */
+    public Histogram dials() {
+        return dials;
+    }
+
     /** Engines in the list, and those of them that get nothing now though the list would have it. */
     public void engines(int inList, int passedOver) {
         listed = inList;
@@ -139,6 +157,7 @@
         for (EventCount event : EventCount.values()) {
             out.add(new Figure(event.figureName(), events.get(event.ordinal()), true));
         }
+        for (Histogram histogram : List.of(timerDelays, loopTurns, dials)) out.addAll(histogram.figures());
         long[] moved = streams;
         if (moved != null) {
             out.add(new Figure("streams_taken_over", moved[0], true));
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -3,6 +3,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -74,6 +75,11 @@
                 .flip();
     }
 
+    /** True if it releases what an engine holds. */
+    boolean isRelease() {
+        return request != null && request.getMethod().equals(Methods.DELETE);
+    }
+
     /** True while nothing has been written. */
     public boolean unsent() {
         return !wrote && !done;
--- a/src/main/java/maplerail/net/Pool.java
+++ b/src/main/java/maplerail/net/Pool.java
@@ -2,7 +2,6 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.Methods;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -15,6 +14,8 @@
 import java.util.Set;
 import maplerail.core.ConnectionChoice;
 import maplerail.core.EventLoop;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoFuture;
@@ -28,11 +29,14 @@
     private static final double RETIRE_SHARE = 0.5; // of the time after which the far side closes
     private static final double SETTLE_MS = 30; // after an answer, in which what else belongs to it would come
     private static final int MAX_CONNECTING = 24; // to one address: one that never answers must not take all
+    private static final int MAX_CONNECTING_IN_ALL = 64; // a gateway that is behind begins no more
+    private static final int MAX_CONNECTING_FOR_RELEASES = 80; // in all: what they release is held meanwhile
     private static final double SWEEP_MS = 1_000;
     private static final OptionMap OPTIONS =
             OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
     private final XnioLoop loop;
+    private final Metrics metrics;
     private final ByteBufferPool buffers;
     private double retireMs;
     private double connectMs;
@@ -55,7 +59,19 @@
 
     /** Makes a pool of at most so many connections, which the far side closes after being idle for some time. */
     public Pool(XnioLoop loop, ByteBufferPool buffers, double connIdleMs, double connectTimeoutMs, int most) {
+        this(loop, buffers, connIdleMs, connectTimeoutMs, most, new Metrics());
+    }
+
+    /** The same, with its dials counted. */
+    public Pool(
+            XnioLoop loop,
+            ByteBufferPool buffers,
+            double connIdleMs,
+            double connectTimeoutMs,
+            int most,
+            Metrics metrics) {
         this.loop = loop;
+        this.metrics = metrics;
         this.buffers = buffers;
         this.most = most;
         retune(connIdleMs, connectTimeoutMs);
@@ -81,7 +97,7 @@
     /** Starts a request; the reply hears of it after this call has returned. */
     public Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply) {
         Call call = new Call(this, request, body, reply);
-        if (!begin(to, call)) waitForConnection(to, request, call);
+        if (!begin(to, call)) waitForConnection(to, call);
         return call;
     }
 
@@ -89,8 +105,8 @@
     Call start(InetSocketAddress to, ClientRequest request, byte[] body, Reply reply, ConnectionChoice connection) {
         if (connection == ConnectionChoice.ANY) return start(to, request, body, reply);
         Call call = new Call(this, request, body, reply);
-        if (mayConnect(to)) connect(to, call);
-        else waitForConnection(to, request, call);
+        if (mayConnect(to, call)) connect(to, call);
+        else waitForConnection(to, call);
         return call;
     }
 
@@ -100,10 +116,10 @@
         if (kept != null) kept.forEach(PooledConnection::close);
     }
 
-    private void waitForConnection(InetSocketAddress to, ClientRequest request, Call call) {
+    private void waitForConnection(InetSocketAddress to, Call call) {
         WaitingCalls waiting = queued.computeIfAbsent(to, t -> new WaitingCalls());
         // A release behind a crowd of reads would wait until what it releases has been held for too long.
-        if (request.getMethod().equals(Methods.DELETE)) waiting.calls.addFirst(call);
+        if (call.isRelease()) waiting.calls.addFirst(call);
         else waiting.calls.addLast(call);
         limitWait(waiting, call);
     }
@@ -121,7 +137,7 @@
         PooledConnection ready = fresh(to);
         if (ready != null) {
             call.on(ready);
-        } else if (!mayConnect(to)) {
+        } else if (!mayConnect(to, call)) {
             return false;
         } else {
             connect(to, call);
@@ -129,8 +145,9 @@
         return true;
     }
 
-    private boolean mayConnect(InetSocketAddress to) {
-        return connecting.getOrDefault(to, 0) < MAX_CONNECTING && room();
+    private boolean mayConnect(InetSocketAddress to, Call call) {
+        int mostInAll = call.isRelease() ? MAX_CONNECTING_FOR_RELEASES : MAX_CONNECTING_IN_ALL;
+        return connectingInAll < mostInAll && connecting.getOrDefault(to, 0) < MAX_CONNECTING && room();
     }
 
     /**
@@ -185,20 +202,25 @@
         LOG.debug("{}: connecting", to);
         connecting.merge(to, 1, Integer::sum);
         connectingInAll++;
+        metrics.count(EventCount.DIALS_BEGUN);
+        double begunMs = loop.nowMs();
         IoFuture<StreamConnection> coming = loop.thread().openStreamConnection(to, null, OPTIONS);
-        EventLoop.Timer limit = loop.at(loop.nowMs() + connectMs, () -> {
+        EventLoop.Timer limit = loop.at(begunMs + connectMs, () -> {
+            metrics.count(EventCount.DIALS_GIVEN_UP);
             call.failUnconnected();
             coming.cancel(); // one that never comes up would hold a descriptor for minutes
         });
         coming.addNotifier(
                 (future, none) -> loop.execute(() -> {
                     limit.cancel();
-                    connected(to, call, future);
+                    connected(to, call, begunMs, future);
                 }),
                 null);
     }
 
-    private void connected(InetSocketAddress to, Call call, IoFuture<? extends StreamConnection> future) {
+    private void connected(
+            InetSocketAddress to, Call call, double begunMs, IoFuture<? extends StreamConnection> future) {
+        boolean wasFull = connectingInAll >= MAX_CONNECTING_IN_ALL;
         connecting.computeIfPresent(to, (address, count) -> count > 1 ? count - 1 : null);
         connectingInAll--;
         StreamConnection connection;
@@ -211,17 +233,30 @@
                     e.getMessage(),
                     links.size(),
                     connectingInAll);
+            if (future.getStatus() == IoFuture.Status.FAILED) metrics.count(EventCount.DIALS_FAILED);
             call.failUnconnected(); // refused, or cancelled: then it has failed already
-            next(to);
+            beginWaiting(to, wasFull);
             return;
         }
         PooledConnection link = own(to, connection);
         WaitingCalls waiting = queued.get(to);
         if (waiting != null) waiting.connectedMs = loop.nowMs();
         beforeUse.run();
-        if (call.wanted()) call.on(link);
-        else keep(link);
+        metrics.count(EventCount.DIALS_UP);
+        metrics.dials().record(loop.nowMs() - begunMs);
+        if (call.wanted()) {
+            call.on(link);
+        } else {
+            metrics.count(EventCount.DIALS_KEPT);
+            keep(link);
+        }
+        beginWaiting(to, wasFull);
+    }
+
+    /** Begins the calls that wait there; if as many dials were on their way as may be, those that wait anywhere. */
+    private void beginWaiting(InetSocketAddress to, boolean wasFull) {
         next(to);
+        if (wasFull) List.copyOf(queued.keySet()).forEach(this::next);
     }
 
     private PooledConnection own(InetSocketAddress to, StreamConnection connection) {
--- a/src/main/java/maplerail/net/XnioLoop.java
+++ b/src/main/java/maplerail/net/XnioLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import maplerail.core.EventLoop;
+import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
@@ -26,6 +27,7 @@
     private final long startNanos = System.nanoTime();
     private final double startMs = System.currentTimeMillis();
     private final TimerQueue timers = new TimerQueue();
+    private final Metrics metrics;
     private final SocketPollBarrier barrier;
     private XnioExecutor.Key wakeUp;
     private double wakeUpMs = Double.POSITIVE_INFINITY;
@@ -37,7 +39,13 @@
      * @throws UncheckedIOException if the system gives no pipe
      */
     public XnioLoop(XnioIoThread thread) {
+        this(thread, new Metrics());
+    }
+
+    /** The same, with its turns and the delays of its timers counted. */
+    public XnioLoop(XnioIoThread thread, Metrics metrics) {
         this.thread = thread;
+        this.metrics = metrics;
         try {
             barrier = new SocketPollBarrier(thread, this::onPolled);
         } catch (IOException e) {
@@ -125,10 +133,13 @@
 
     private void onPolled() {
         double dueMs = pollOrderedMs;
-        double untilMs = nowMs() + TIMERS_BETWEEN_POLLS_MS;
+        double polledMs = nowMs();
+        metrics.loopTurns().record(polledMs - pollOrderedMs);
+        double untilMs = polledMs + TIMERS_BETWEEN_POLLS_MS;
         do {
             TimerQueue.Entry next = timers.pollDue(dueMs);
             if (next == null) break;
+            metrics.timerDelays().record(nowMs() - next.dueMs());
             run(next.task());
         } while (nowMs() < untilMs);
         scheduleNext();
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -100,11 +100,11 @@
         this.config = config;
         this.sharedFolder = Optional.ofNullable(sharedFolder);
         worker = createWorker();
-        loop = new XnioLoop(worker.getIoThread());
+        loop = new XnioLoop(worker.getIoThread(), metrics);
         NodeConfig.Wire wire = config.wire();
         descriptors = new DescriptorBudget(wire.sockets(), toolsConfig != null, config.admin() != null);
-        enginePool = createPool(wire, descriptors.engines());
-        discoveryPool = createPool(wire, descriptors.discovery()).unsettled();
+        enginePool = createPool(wire, descriptors.engines(), metrics);
+        discoveryPool = createPool(wire, descriptors.discovery(), new Metrics()).unsettled();
         engines = new EngineClient(enginePool, metrics);
         RoutingSettings settings = config.settings();
         SplittableRandom advice = new SplittableRandom(settings.seed() ^ ADVICE_SEED);
@@ -152,8 +152,8 @@
                         .getMap());
     }
 
-    private Pool createPool(NodeConfig.Wire wire, int maxConnections) {
-        return new Pool(loop, buffers, wire.connIdleMs(), wire.connectTimeoutMs(), maxConnections);
+    private Pool createPool(NodeConfig.Wire wire, int maxConnections, Metrics dials) {
+        return new Pool(loop, buffers, wire.connIdleMs(), wire.connectTimeoutMs(), maxConnections, dials);
     }
 
     /** The routing policy; its decisions are logged where the operators have that logger on. */
--- a/src/test/java/maplerail/net/PoolTest.java
+++ b/src/test/java/maplerail/net/PoolTest.java
@@ -23,6 +23,7 @@
 import maplerail.core.ConnectionChoice;
 import maplerail.core.InferenceRequest;
 import maplerail.core.ReleaseGate;
+import maplerail.metrics.Metrics;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
@@ -236,6 +237,37 @@
         }
     }
 
+    /** Guards against a gateway that is behind and dials without bound; a release does not wait for the crowd. */
+    @Test
+    void dialsOnTheirWayAreBoundedOverAllServersAndReleasesComeFirst() throws Exception {
+        Metrics metrics = new Metrics();
+        BlockingQueue<Long> begun = World.queue();
+        List<StandIn> servers = new ArrayList<>();
+        for (int i = 0; i < 5; i++) servers.add(new StandIn(x -> x.reply(200, "")));
+        Pool pool = new Pool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, 250, 1_000, metrics);
+        loop.execute(() -> {
+            for (StandIn server : servers) {
+                InetSocketAddress to = server.socketAddress();
+                for (int i = 0; i < 20; i++) pool.start(to, request(to), new byte[2], new Heard(heard));
+            }
+            begun.add(begunDials(metrics));
+            InetSocketAddress last = servers.get(4).socketAddress();
+            pool.start(last, Requests.to(last, Methods.DELETE, "/"), new byte[0], new Heard(heard));
+            begun.add(begunDials(metrics));
+        });
+        assertThat(take(begun)).isEqualTo(64);
+        assertThat(take(begun)).isEqualTo(65);
+        for (int i = 0; i < 101; i++) assertThat(take(heard)).isEqualTo("end");
+        for (StandIn server : servers) server.close();
+    }
+
+    private static long begunDials(Metrics metrics) {
+        return metrics.figures().stream()
+                .filter(figure -> figure.name().equals("dials_begun"))
+                .mapToLong(Metrics.Figure::value)
+                .sum();
+    }
+
     /** A crowd that comes at once waits for connections rather than failing on its own number. */
     @Test
     void moreCallsThanMayConnectWaitForTheirTurn() throws Exception {
