One owner of what is known of a read: proof, a writer's word, and no estimate where one may be asked

A read is lost if a later one of its reader was answered, or the reader was cut off, or a writer says that it is not in flight. A writer is asked only about a reader that has answered nothing, on any connection, for 0.6 of the limit after the read's expected end; its word holds for all reads that were written there later, and counts in the reader's expected times, as what other gateways tell does. The estimate, its budget and nine constants are gone: where nobody may be asked, a read of a reader silent for 0.9 of the limit is lost (2 limits after another lost one).

Tests: two new in BrokerTest fail before; BrokerTest and ArchitectureTest green.

--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -196,6 +196,7 @@
 
     /** Reports reads that other gateways have observed. */
     public void reportPeerReads(List<PeerRead> reads) {
+        reads.forEach(reservations::onPeerRead);
         reads.forEach(routing::report);
     }
 
--- a/src/main/java/maplerail/core/ReadInquiry.java
+++ b/src/main/java/maplerail/core/ReadInquiry.java
@@ -2,16 +2,17 @@
 
 /** What is known from asking writers whether a read is still in flight. */
 final class ReadInquiry {
-    /** After an answer, when it is asked again: the read may have ended since. */
-    private static final double ASK_AGAIN_MS = 300;
-
-    /** The same after no answer, or where there was no writer to ask. */
+    /** After no answer, or where there was no writer to ask, when another is asked; doubled each time. */
     private static final double RETRY_MS = 50;
 
+    private static final double MAX_RETRY_MS = 400;
+
     private double notBeforeMs = Double.NEGATIVE_INFINITY;
+    private double retryMs = RETRY_MS;
     private boolean asked;
     private boolean open;
     private boolean failed;
+    private boolean inFlight;
 
     /** Notes that a writer is wanted; if none is asked, another may be wanted after a while. */
     void onWanted(double nowMs) {
@@ -28,7 +29,9 @@
     void onAnswer(PlaceAnswer answer, double nowMs) {
         open = false;
         failed = answer == PlaceAnswer.UNKNOWN;
-        notBeforeMs = nowMs + (failed ? RETRY_MS : ASK_AGAIN_MS);
+        inFlight |= answer.isReading();
+        notBeforeMs = nowMs + retryMs;
+        retryMs = failed ? Math.min(MAX_RETRY_MS, 2 * retryMs) : RETRY_MS;
     }
 
     /** True if a writer was ever asked: it may hold a place. */
@@ -36,6 +39,11 @@
         return asked;
     }
 
+    /** True if a writer has said that the read was in flight. */
+    boolean wasInFlight() {
+        return inFlight;
+    }
+
     /** True while an answer is awaited. */
     boolean isOpen() {
         return open;
--- a/src/main/java/maplerail/core/ReservationKeeper.java
+++ b/src/main/java/maplerail/core/ReservationKeeper.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import maplerail.core.Reservation.Phase;
 import maplerail.routing.AttemptOutcome;
+import maplerail.routing.RoutingEvent.PeerRead;
 
 /**
  * Sees to it that what engines hold for a request is taken or released within the limit of the settings.
@@ -41,14 +42,14 @@
     /** When a release is repeated after the holder's first answer: the reader may end its read after it. */
     private static final double[] REPEAT_AFTER_MS = {120, 400, 750, 1_100, 1_600};
 
+    /** After a writer has said that no read is in flight, for its answer to be handled if it comes all the same. */
+    private static final double ENDED_READ_ANSWER_MS = 30;
+
     private final EngineTransport transport;
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final RequestEventLog events;
-    /** After a writer has said that no read is in flight, for its answer to be handled if it comes all the same. */
-    private static final double ENDED_READ_ANSWER_MS = 30;
-
-    private final UnheardReadDetector unheardReads = new UnheardReadDetector();
+    private final ReadTracker reads = new ReadTracker();
     private Attempts attempts;
     private int pending;
 
@@ -116,6 +117,11 @@
         record.reservations.put(Reservation.reading(read, before != null));
     }
 
+    /** Another gateway has told how long reads took at a reader. */
+    void onPeerRead(PeerRead read) {
+        reads.onPeerRead(read.engine(), read.elapsedMs(), loop.nowMs());
+    }
+
     /** Notes what an attempt that ended may have left; {@link #review} is to follow. */
     void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
         RequestRecord record = attempt.record;
@@ -131,16 +137,13 @@
     private void onReadEnded(Attempt read, AttemptOutcome outcome) {
         RequestReservations reservations = read.record.reservations;
         if (outcome == AttemptOutcome.PROMPT_READ) {
-            unheardReads.onAnswered(read, loop.nowMs());
+            reads.onAnswered(read, loop.nowMs());
             reservations.setExpired(false);
             reservations.put(Reservation.held(read.engine));
             return;
         }
-        if (isAnswer(outcome)) unheardReads.onDeclined(read);
-        if (outcome == AttemptOutcome.UNREACHABLE) unheardReads.onUnreachable(read);
-        if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.RESET) {
-            unheardReads.onConnectionFailed(read);
-        }
+        if (isAnswer(outcome)) reads.onDeclined(read);
+        if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.RESET) reads.onConnectionFailed(read);
         Reservation known = reservations.at(read.engine);
         if (known == null || known.read() != read) return;
         reservations.remove(known);
@@ -193,8 +196,11 @@
         for (Reservation reading : record.reservations.in(Phase.READING)) {
             Attempt read = reading.read();
             if (read.isUnsent()) continue;
-            if (isLost(read)) attempts.abortUnheard(read);
-            else if (mayAsk(read) && loop.nowMs() >= unheardReads.askAtMs(read, loop.nowMs())) wantWriter(read);
+            switch (reads.judge(read, loop.nowMs())) {
+                case WAIT -> {}
+                case ASK -> wantWriter(read);
+                case LOST -> attempts.abortUnheard(read);
+            }
         }
     }
 
@@ -203,24 +209,12 @@
         attempts.onUnheard(read);
     }
 
-    /** An estimate counts only where no writer can be asked. */
-    private boolean isLost(Attempt read) {
-        double nowMs = loop.nowMs();
-        if (unheardReads.isProvenLost(read, nowMs)) return true;
-        boolean answersTell = read.record.terms.placesAhead() && !read.inquiry.hasFailed();
-        return !answersTell && unheardReads.isLost(read, nowMs);
-    }
-
-    private static boolean mayAsk(Attempt read) {
-        return read.record.terms.placesAhead() && !read.inquiry.isOpen();
-    }
-
     /** Asks a writer whether a read of a request is in flight; the routing policy has chosen the writer. */
     void askWriter(RequestRecord record, long writer) {
         for (Reservation reading : record.reservations.in(Phase.READING)) {
             Attempt read = reading.read();
-            if (read.isUnsent() || !mayAsk(read)) continue;
-            read.inquiry.onAsked();
+            if (read.isUnsent() || !reads.mayAsk(read)) continue;
+            reads.onAsked(read);
             // An open connection that was silent was one of a crowd: the next writer is asked on a new one.
             ConnectionChoice connection = read.inquiry.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
             transport.reservePlace(
@@ -231,7 +225,7 @@
 
     private void onPlaceAnswer(Attempt read, long writer, PlaceAnswer answer) {
         RequestRecord record = read.record;
-        read.inquiry.onAnswer(answer, loop.nowMs());
+        reads.onWord(read, answer, loop.nowMs());
         if (!read.isInFlight()) {
             // The release that followed the read may have overtaken the place.
             if (answer != PlaceAnswer.NOT_HELD) record.reservations.put(Reservation.abandoned(writer, false));
@@ -284,12 +278,8 @@
         record.reservationTimer.cancel();
         double nextMs = Double.POSITIVE_INFINITY;
         for (Reservation reading : record.reservations.in(Phase.READING)) {
-            if (!reading.read().isUnsent()) {
-                nextMs = Math.min(nextMs, unheardReads.judgeAtMs(reading.read(), loop.nowMs()));
-                if (mayAsk(reading.read())) {
-                    nextMs = Math.min(nextMs, unheardReads.askAtMs(reading.read(), loop.nowMs()));
-                }
-            }
+            Attempt read = reading.read();
+            if (!read.isUnsent()) nextMs = Math.min(nextMs, reads.judgeAtMs(read, loop.nowMs()));
         }
         // What waits for a read in flight is looked at when that one has ended, which its own deadline bounds.
         boolean waits = !record.reservations.unreleased().isEmpty();
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -804,13 +804,17 @@
         assertThat(log).anyMatch(line -> line.contains("outcome=CANCELLED") && line.contains("aborted_for=UNHEARD"));
     }
 
-    /** A read of which nothing was heard for long, and a writer that was asked about it. */
-    private void takeUnheardRead() {
+    private void permitPlaces() {
         RoutingSettings.Limits limits = new RoutingSettings.Limits(5, true, true, true, 1_000, false, true);
         RoutingSettings.Rules rules = new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1);
         broker.changeSettings(
                 new RoutingSettings(1, 1, 0, 2, false, 1, List.of(), List.of(), List.of(), limits, rules),
                 List.of("a", "b", "c"));
+    }
+
+    /** A read of which nothing was heard for long, and a writer that was asked about it. */
+    private void takeUnheardRead() {
+        permitPlaces();
         take("a", send(READER));
         next.add(new RoutingAction.ReservePlace(1, WRITER));
         loop.until(loop.now + 860);
@@ -818,6 +822,40 @@
         assertThat(placeAnswers).hasSize(1);
     }
 
+    /** Guards against places held for reads that only wait in their reader's queue. */
+    @Test
+    void aReadIsNotAskedAboutAsLongAsItsReaderIsHeard() {
+        permitPlaces();
+        take("a", send(READER));
+        loop.until(loop.now + 100);
+        out.get(0).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
+        take("b", new RoutingAction.StartAttempt(2, READER, 0));
+        loop.until(loop.now + 1);
+        take("c", new RoutingAction.StartAttempt(3, READER, 0));
+        loop.until(loop.now + 350);
+        out.get(1).answer.onEnded(AttemptOutcome.PROMPT_READ, 0);
+        loop.until(loop.now + 295);
+        assertThat(told).doesNotContain(new RoutingEvent.ReadUnheard(3, 0));
+        loop.until(loop.now + 10);
+        assertThat(told).contains(new RoutingEvent.ReadUnheard(3, 0));
+    }
+
+    /** Guards against a call for each read of a reader that is slow. */
+    @Test
+    void whatAWriterSaysOfAReadHoldsForThoseThatWereWrittenLater() {
+        permitPlaces();
+        take("a", send(READER));
+        loop.until(loop.now + 1);
+        take("b", new RoutingAction.StartAttempt(2, READER, 0));
+        next.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.until(loop.now + 900);
+        assertThat(placeAnswers).hasSize(1);
+        placeAnswers.get(0).accept(PlaceAnswer.NOT_HELD);
+        loop.until(loop.now + 290);
+        assertThat(told).doesNotContain(new RoutingEvent.ReadUnheard(2, 0));
+        assertThat(out.get(1).aborted).isFalse();
+    }
+
     /** Guards against a state that is held because its read's answer was lost. */
     @Test
     void aReadIsGivenUpOnceAWriterSaysThatItIsNotInFlight() {
