Rename: org.xnio.nio.InheritedListener is IoThreadListener

It says where connections are accepted, on the worker's I/O thread, which is what it does for any listening socket. No change of behaviour.

--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -46,7 +46,7 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.InheritedListener;
+import org.xnio.nio.IoThreadListener;
 
 /**
  * One gateway: wires its parts, starts them, and passes on what changes while it runs. Public methods may be called from any
@@ -269,7 +269,7 @@
     private AcceptingChannel<StreamConnection> openPlatformSocket(
             ChannelListener<AcceptingChannel<StreamConnection>> onAccept, OptionMap options) throws IOException {
         if (!config.inherited()) return worker.createStreamConnectionServer(config.listen(), onAccept, options);
-        return InheritedListener.serve(worker, inheritedSocket(), onAccept, options);
+        return IoThreadListener.serve(worker, inheritedSocket(), onAccept, options);
     }
 
     /** The clients' listening socket, which whoever started the process keeps, and other processes serve with it. */
--- a/src/main/java/org/xnio/nio/AdoptedSocket.java
+++ b/src/main/java/org/xnio/nio/AdoptedSocket.java
@@ -8,7 +8,7 @@
 
 /**
  * Makes XNIO's connection of a socket that another process opened, and tells which socket a connection has. As for
- * {@link InheritedListener}, XNIO lets nobody outside its package do either.
+ * {@link IoThreadListener}, XNIO lets nobody outside its package do either.
  */
 public final class AdoptedSocket {
     private AdoptedSocket() {}
--- a/src/main/java/org/xnio/nio/InheritedListener.java
+++ b/src/main/java/org/xnio/nio/IoThreadListener.java
@@ -13,8 +13,8 @@
  * serves them can be made in its own package only, so this one class is there. It depends on the version that the
  * build names; the test with two processes on one socket is what tells whether a newer one still fits.
  */
-public final class InheritedListener {
-    private InheritedListener() {}
+public final class IoThreadListener {
+    private IoThreadListener() {}
 
     /**
      * Accepts on the worker's own I/O thread, not on the thread apart that XNIO uses for its own sockets: what that one
--- a/src/test/java/maplerail/ArchitectureTest.java
+++ b/src/test/java/maplerail/ArchitectureTest.java
@@ -230,7 +230,7 @@
                 .that()
                 .resideInAPackage("org.xnio..")
                 .should()
-                .haveNameMatching(".*\\.(InheritedListener|AdoptedSocket)")
+                .haveNameMatching(".*\\.(IoThreadListener|AdoptedSocket)")
                 .check(new ClassFileImporter().importPath("target/classes/org"));
     }
 
