--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
+import maplerail.front.ClientConnection.State;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
@@ -52,21 +53,6 @@
     /** After an answer in a drain, for the request that its client sends as soon as the answer has ended. */
     private static final double LINGER_MS = 20;
 
-    private enum State {
-        /** New, nothing has come on it. */
-        SILENT,
-        /** A request is on its way and not complete. */
-        ARRIVING,
-        /** A request waits for the end of its answer. */
-        OPEN,
-        /** Between two requests. */
-        IDLE,
-        /** A WebSocket, which its session looks after. */
-        UPGRADED,
-        /** Our side has ended; what still comes is thrown away. */
-        PARTING
-    }
-
     private final ChannelListener<StreamConnection> next;
     private final EventLoop loop;
     private final int most;
@@ -75,12 +61,6 @@
     private final Map<StreamConnection, ClientConnection> clients = new LinkedHashMap<>();
     private boolean sweeping;
 
-    private static final class ClientConnection {
-        State state = State.SILENT;
-        double sinceMs;
-        ReadAheadConduit readAhead;
-    }
-
     /** Creates a manager before a server's listener, for at most so many connections at once. */
     public ConnectionManager(
             ChannelListener<StreamConnection> next, EventLoop loop, int most, DrainSchedule drain, Metrics metrics) {
@@ -98,9 +78,7 @@
     }
 
     private ClientConnection open(StreamConnection connection, State state) {
-        ClientConnection client = new ClientConnection();
-        client.state = state;
-        client.sinceMs = loop.nowMs();
+        ClientConnection client = new ClientConnection(state, loop.nowMs());
         clients.put(connection, client);
         client.readAhead = new ReadAheadConduit(connection.getSourceChannel().getConduit(), () -> onBytes(client));
         connection.getSourceChannel().setConduit(client.readAhead);
