Drain: a request that was sent before it and parsed after it is told of no end

Cause: ConnectionManager asked when a request's head was parsed. A head that is parsed after the drain's begin announced the end of its connection, which ended with the stream whatever came behind it. The request may have been sent long before: it lay in the listener's queue, among the connections that AcceptThrottle had not let in, in a buffer, or behind another request.

Fix: when a drain begins the loop looks, at once, at all four places: it accepts what the listener's queue holds, notes who is not let in yet, and reads ahead what each connection has received. What was there then was sent before, whenever it is parsed; such a stream announces nothing. It is a fact of each request, no span of time: a span was too wide for who comes in the drain, a count of looks too narrow for a full throttle. For this connections are accepted on the loop's own thread, as those of an inherited socket were: XNIO's thread apart accepts when it likes, so that nobody could tell who had been there. Where a front is full, what it accepts later counts as earlier until its listener has been seen empty. A request of which only a part had come counts as sent in the drain.

--- a/src/main/java/maplerail/core/DrainSchedule.java
+++ b/src/main/java/maplerail/core/DrainSchedule.java
@@ -22,6 +22,7 @@
     private final EventLoop loop;
     private volatile double refusingFromMs = NEVER;
     private volatile boolean sendingAway;
+    private volatile int drains;
 
     /** Creates the schedule of a process that is in the lifecycle's phase now. */
     public DrainSchedule(Lifecycle lifecycle, EventLoop loop) {
@@ -43,6 +44,7 @@
 
     private void begin(double takingMs) {
         refusingFromMs = Math.min(refusingFromMs, loop.nowMs() + takingMs);
+        if (!sendingAway) drains++; // told one at a time, by the thread that moves the phase
         sendingAway = true;
     }
 
@@ -51,6 +53,11 @@
         return sendingAway;
     }
 
+    /** The number of times that clients began to be sent away; a stop in the middle of a lame duck is none of its own. */
+    public int drains() {
+        return drains;
+    }
+
     /** True once new requests are refused, whatever connection they come on. */
     public boolean isRefusing() {
         return loop.nowMs() >= refusingFromMs;
--- a/src/main/java/maplerail/front/AcceptThrottle.java
+++ b/src/main/java/maplerail/front/AcceptThrottle.java
@@ -1,7 +1,10 @@
 package maplerail.front;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.function.Consumer;
 import maplerail.core.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,13 +26,20 @@
     private static final double LATE_MS = 60; // of a turn, from which the loop has enough to do
 
     private final ChannelListener<StreamConnection> next;
+    private final Consumer<Collection<StreamConnection>> onAccepted;
     private final EventLoop loop;
     private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
     private boolean admitting;
 
-    /** Creates a throttle before what manages open connections. */
-    public AcceptThrottle(ChannelListener<StreamConnection> next, EventLoop loop) {
+    /**
+     * Creates a throttle before what manages open connections.
+     *
+     * @param onAccepted hears of the connections that wait to be let in, after all that are there have been accepted
+     */
+    public AcceptThrottle(
+            ChannelListener<StreamConnection> next, Consumer<Collection<StreamConnection>> onAccepted, EventLoop loop) {
         this.next = next;
+        this.onAccepted = onAccepted;
         this.loop = loop;
     }
 
@@ -41,12 +51,19 @@
     /** Takes all that are there: XNIO runs nothing else on this thread while it has some left. */
     @Override
     public void handleEvent(AcceptingChannel<StreamConnection> from) {
+        acceptAll(from);
+        onAccepted.accept(waiting);
+        if (!admitting) admit(AT_ONCE);
+    }
+
+    private void acceptAll(AcceptingChannel<StreamConnection> from) {
         try {
             for (StreamConnection came = from.accept(); came != null; came = from.accept()) waiting.add(came);
+        } catch (ClosedChannelException e) {
+            LOG.debug("no connections are taken any more"); // as when another process serves the socket
         } catch (IOException e) {
             LOG.warn("a connection could not be taken: {}", e.getMessage());
         }
-        if (!admitting) admit(AT_ONCE);
     }
 
     /**
--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +60,7 @@
     private final DrainSchedule drain;
     private final Metrics metrics;
     private final Map<StreamConnection, ClientConnection> clients = new LinkedHashMap<>();
+    private final DrainBoundary drainBoundary;
     private boolean sweeping;
 
     /** Creates a manager before a server's listener, for at most so many connections at once. */
@@ -68,12 +70,22 @@
         this.loop = loop;
         this.most = most;
         this.drain = drain;
+        this.drainBoundary = new DrainBoundary(drain);
         this.metrics = metrics;
     }
 
+    /**
+     * The listener has accepted all that it may. To be called before any of them is let in, and when a drain begins.
+     *
+     * @param waiting the connections that are accepted and not let in
+     */
+    public void onAccepted(Collection<StreamConnection> waiting) {
+        drainBoundary.onAccepted(waiting, clients.values(), clients.size() + waiting.size() >= most);
+    }
+
     @Override
     public void handleEvent(StreamConnection connection) {
-        open(connection, State.SILENT);
+        drainBoundary.onAdmitted(connection, open(connection, State.SILENT));
         next.handleEvent(connection);
     }
 
@@ -97,13 +109,13 @@
     /**
      * A request's head is whole; its connection is idle again once the request is answered to the last byte. While clients
      * are sent away it ends soon after the answer, unless more comes on it, which is owed an answer as well. The response's
-     * head announces that, but not of a stream whose request came before: its client may send behind it until it ends.
+     * head announces that, but not of a stream whose request was sent before: its client may send behind it until it ends.
      */
     public void onRequestHead(HttpServerExchange exchange) {
-        boolean cameBefore = !drain.isSendingAway();
+        boolean sentBefore = client(exchange).map(drainBoundary::isBefore).orElse(true);
         exchange.addResponseCommitListener(committed -> {
             boolean isStream = committed.getResponseContentLength() < 0;
-            if (drain.isSendingAway() && !(cameBefore && isStream)) announceEnd(committed);
+            if (drain.isSendingAway() && !(sentBefore && isStream)) announceEnd(committed);
         });
         exchange.addExchangeCompleteListener((done, proceed) -> {
             set(done, !done.isPersistent() ? State.PARTING : isNextBuffered(done) ? State.ARRIVING : State.IDLE);
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -20,6 +20,7 @@
 
     private final Runnable came;
     private ByteBuffer early = NOTHING; // from its position to its limit: looked at and not read
+    private long received; // bytes, but for those thrown away
     private boolean ended;
     private boolean discarding;
 
@@ -36,7 +37,7 @@
         try {
             while (!ended && early.remaining() < MOST) {
                 ByteBuffer piece = ByteBuffer.allocate(PIECE);
-                int count = next.read(piece);
+                int count = receive(piece);
                 if (count < 0) ended = true;
                 if (count <= 0) break;
                 keep(piece.flip());
@@ -49,6 +50,12 @@
         return ended;
     }
 
+    private int receive(ByteBuffer into) throws IOException {
+        int count = next.read(into);
+        if (count > 0) received += count;
+        return count;
+    }
+
     /**
      * Nobody reads on: what still comes is thrown away. Guards against an end over bytes that nobody has read, which is a
      * reset, and takes what the client has yet to read of its answer with it.
@@ -88,6 +95,16 @@
         early.put(piece).position(from);
     }
 
+    /** The number of bytes that have come so far, whether anybody has read them or not. */
+    long received() {
+        return received;
+    }
+
+    /** The number of bytes that have been read. */
+    long consumed() {
+        return received - early.remaining();
+    }
+
     /** True while as much lies here as may. */
     boolean full() {
         return early.remaining() >= MOST;
@@ -101,7 +118,7 @@
     @Override
     public int read(ByteBuffer into) throws IOException {
         if (discarding) return throwAway();
-        int count = early.hasRemaining() ? take(into) : ended ? -1 : next.read(into);
+        int count = early.hasRemaining() ? take(into) : ended ? -1 : receive(into);
         if (count > 0) came.run();
         return count;
     }
@@ -111,7 +128,10 @@
         if (discarding) return throwAway();
         if (!early.hasRemaining() && !ended) {
             long count = next.read(into, offset, length);
-            if (count > 0) came.run();
+            if (count > 0) {
+                received += count;
+                came.run();
+            }
             return count;
         }
         long sum = 0;
--- a/src/main/java/maplerail/server/DrainController.java
+++ b/src/main/java/maplerail/server/DrainController.java
@@ -45,6 +45,9 @@
         /** Sets the latest deadline of requests from now on, at both fronts. */
         void limitDeadlines(double latestMs);
 
+        /** Looks at what clients had sent when the shutdown began. */
+        void onDrainBegun();
+
         /** Hands running streams on until a time. */
         void handOnStreams(double untilMs);
 
@@ -86,6 +89,7 @@
         forcedMs = loop.nowMs() + forcedAfterMs();
         // A request that comes on a kept connection just before the end would be cut off by it.
         host.limitDeadlines(forcedMs - ANSWER_MARGIN_MS);
+        host.onDrainBegun();
         loop.at(loop.nowMs() + ARRIVING_MS, this::finish);
         host.handOnStreams(forcedMs - NOT_HANDED_ON_MS);
         if (host.config().wire().resume()) loop.at(forcedMs - BREAK_OFF_MS, () -> beginBreakingOff());
--- a/src/main/java/maplerail/server/FrontListener.java
+++ b/src/main/java/maplerail/server/FrontListener.java
@@ -75,7 +75,7 @@
                 .set(Options.CONNECTION_HIGH_WATER, maxConnections)
                 .set(Options.CONNECTION_LOW_WATER, maxConnections - 1)
                 .getMap();
-        AcceptThrottle throttle = new AcceptThrottle(connections, loop);
+        AcceptThrottle throttle = new AcceptThrottle(connections, connections::onAccepted, loop);
         AcceptingChannel<StreamConnection> channel = opener.open(throttle, options);
         channel.resumeAccepts();
         return new FrontListener(channel, connections, throttle);
@@ -90,6 +90,11 @@
         return connections;
     }
 
+    /** A drain has begun: looks at what clients had sent by then, wherever it lies. To be called on the loop. */
+    void onDrainBegun() {
+        throttle.handleEvent(channel);
+    }
+
     /** True while a client may have sent a request that has no answer yet. */
     boolean isBusy() {
         return throttle.waiting() > 0 || connections.busy() > 0;
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -268,7 +268,7 @@
 
     private AcceptingChannel<StreamConnection> openPlatformSocket(
             ChannelListener<AcceptingChannel<StreamConnection>> onAccept, OptionMap options) throws IOException {
-        if (!config.inherited()) return worker.createStreamConnectionServer(config.listen(), onAccept, options);
+        if (!config.inherited()) return IoThreadListener.open(worker, config.listen(), onAccept, options);
         return IoThreadListener.serve(worker, inheritedSocket(), onAccept, options);
     }
 
@@ -365,10 +365,20 @@
         boolean already = on == (phase() == Phase.LAME_DUCK);
         if (!lifecycle.setLameDuck(on)) return false;
         if (already) return true;
-        loop.execute(() -> lameDuck.onChanged(on));
+        loop.execute(() -> {
+            if (on) onDrainBegun();
+            lameDuck.onChanged(on);
+        });
         return true;
     }
 
+    /** Looks, at either front, at what clients had sent when a drain began. */
+    private void onDrainBegun() {
+        if (!lifecycle.isListening()) return;
+        listener.onDrainBegun();
+        tools.ifPresent(ToolGateway::onDrainBegun);
+    }
+
     /** Ends the connections of either front on which nothing is asked. */
     private void closeIdleConnections() {
         if (!lifecycle.isListening()) return;
@@ -429,6 +439,11 @@
             tools.ifPresent(front -> front.services().brokers().values().forEach(b -> b.limitDeadlines(latestMs)));
         }
 
+        @Override
+        public void onDrainBegun() {
+            Gateway.this.onDrainBegun();
+        }
+
         @Override
         public void handOnStreams(double untilMs) {
             migration.ifPresent(streams -> streams.handOn(untilMs));
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -11,6 +11,7 @@
 import maplerail.metrics.Metrics;
 import maplerail.net.XnioLoop;
 import org.xnio.XnioWorker;
+import org.xnio.nio.IoThreadListener;
 
 /** The second front: tool calls, the services behind them and the listening socket. */
 final class ToolGateway {
@@ -63,7 +64,12 @@
                 drain,
                 metrics,
                 front::setConnections,
-                (onAccept, options) -> worker.createStreamConnectionServer(config.listen(), onAccept, options));
+                (onAccept, options) -> IoThreadListener.open(worker, config.listen(), onAccept, options));
+    }
+
+    /** A drain has begun; called on the loop. */
+    void onDrainBegun() {
+        listener.onDrainBegun();
     }
 
     /** Ends the connections on which nothing is asked, WebSockets too. */
--- a/src/test/java/maplerail/front/ConnectionManagerTest.java
+++ b/src/test/java/maplerail/front/ConnectionManagerTest.java
@@ -86,7 +86,9 @@
             exchange.getResponseSender().send("answer");
         });
         try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
-                new InetSocketAddress("127.0.0.1", 0), new AcceptThrottle(connections, loop), OptionMap.EMPTY)) {
+                new InetSocketAddress("127.0.0.1", 0),
+                new AcceptThrottle(connections, connections::onAccepted, loop),
+                OptionMap.EMPTY)) {
             server.resumeAccepts();
             InetSocketAddress at = server.getLocalAddress(InetSocketAddress.class);
             for (int answered = 0; answered < 2; answered++) { // one that rests, and one that is new
@@ -179,7 +181,7 @@
         XnioLoop loop = new XnioLoop(worker.getIoThread());
         AtomicInteger came = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
-        AcceptThrottle turnstile = new AcceptThrottle(connection -> came.incrementAndGet(), loop);
+        AcceptThrottle turnstile = new AcceptThrottle(connection -> came.incrementAndGet(), waiting -> {}, loop);
         CountDownLatch crowded = new CountDownLatch(1);
         List<Socket> crowd = new ArrayList<>();
         try (AcceptingChannel<StreamConnection> server = worker.createStreamConnectionServer(
@@ -234,7 +236,7 @@
             List<StreamConnection> in = new ArrayList<>();
             @SuppressWarnings("unchecked")
             AcceptingChannel<StreamConnection> listening = (AcceptingChannel<StreamConnection>) from;
-            new AcceptThrottle(in::add, loop).handleEvent(listening);
+            new AcceptThrottle(in::add, waiting -> {}, loop).handleEvent(listening);
             assertThat(in).hasSize(AcceptThrottle.AT_ONCE);
             now[0] += 200;
             due.poll().run();
--- a/src/test/java/maplerail/incident/DrainedConnectionsIT.java
+++ b/src/test/java/maplerail/incident/DrainedConnectionsIT.java
@@ -307,4 +307,45 @@
                 .isEmpty();
         assertThat(clients.values()).allMatch(KeptConnection::isEnded);
     }
+
+    /** A process that stood still comes to the signal before the requests that were sent before it, or that lie behind others. */
+    @ParameterizedTest
+    @CsvSource({"listens on, new", "listens on, busy", "tool calls listen on, new", "tool calls listen on, busy"})
+    void whatWasSentBeforeTheSignalIsToldOfNoEndThoughTheProcessStoodStill(String front, String connections)
+            throws Exception {
+        boolean second = !front.equals("listens on");
+        port = gateway.port(front);
+        if (connections.equals("busy")) {
+            for (int i = 0; i < STREAMS / 2; i++) noting("n" + i).send(second ? call(400) : stream("b" + i, 400));
+            await("requests at the writer", () -> writer.count("POST") == STREAMS / 2);
+        }
+        gateway.signal("STOP");
+        for (int i = 0; i < STREAMS / 2; i++) noting("n" + i).send(second ? call(2_000) : stream("q" + i, 2_000));
+        TimeUnit.MILLISECONDS.sleep(60);
+        gateway.signal("TERM");
+        double toldMs = nowMs();
+        gateway.signal("CONT");
+        sleepUntil(toldMs + 1_500);
+        for (int i = 0; i < STREAMS / 2; i++) noting("n" + i).send(second ? call(6_000) : stream("f" + i, 6_000));
+        sleepUntil(toldMs + KILLED_MS);
+        gateway.signal("KILL");
+        await("ended", () -> clients.values().stream().allMatch(KeptConnection::isEnded));
+        clients.values()
+                .removeIf(client -> client.endedMs() - client.lastUnansweredMs() < 20
+                        || client.lastUnansweredMs() == Double.NEGATIVE_INFINITY);
+        System.out.println(front + ", " + connections + ": heads that announce an end " + odd.size() + ", lost "
+                + clients.size() + ", each of " + STREAMS / 2);
+        assertThat(odd).as("heads of streams that announce an end").isEmpty();
+        assertThat(clients).as("requests without an answer").isEmpty();
+    }
+
+    /** The client of a name, which notes a served answer that announces its connection's end. */
+    private KeptConnection noting(String name) throws IOException {
+        if (!clients.containsKey(name)) {
+            clients.put(name, new KeptConnection(port, answer -> {
+                if (answer.status() == 200 && answer.closes()) odd.put(name, "" + answer);
+            }));
+        }
+        return clients.get(name);
+    }
 }
