Review case 1: a keyed request is run in two cells after its first attempt is declined

Cause: the policy remembers only the first attempt that may have run. When that one is turned away late, a hedge that was run and reset meanwhile is forgotten, and the request goes to engines that do not drop its repeats.

Change: review/1; the two earlier cases are now review/2 (upgrade) and review/3 (flood), by gravity.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 export REVIEW_ROOT
 unset JAVA_TOOL_OPTIONS
 [ -f "$REVIEW_ROOT/target/maplerail.jar" ] && [ -d "$here/../build" ] || exit 2
-exec java -Xmx512m -cp "$here/../build" UpgradeCase "$here"
+exec java -Xmx512m -cp "$here/../build" KeyedCase "$here"
--- a/review/1/UpgradeCase.java
+++ b/review/2/UpgradeCase.java
@@ -21,7 +21,7 @@
 
     public static void main(String[] arguments) throws Exception {
         Path here = Path.of(arguments[0]);
-        Path folder = Files.createTempDirectory("review1");
+        Path folder = Files.createTempDirectory("review-upgrade");
         int status = 2;
         try (Kit.Record record = new Kit.Record(here);
                 Platform platform = new Platform(folder);
--- a/review/2/FloodCase.java
+++ b/review/3/FloodCase.java
@@ -24,7 +24,7 @@
 
     public static void main(String[] arguments) throws Exception {
         Path here = Path.of(arguments[0]);
-        Path folder = Files.createTempDirectory("review2");
+        Path folder = Files.createTempDirectory("review-flood");
         int status = 2;
         try (Kit.Record record = new Kit.Record(here);
                 Fleet fleet = new Fleet(SITE, 4, 4)) {
--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -251,11 +251,17 @@
         }
 
         /** Adds or changes an engine. */
-        synchronized void put(String host, String dial, String site, String kind, String health, long bornMs) {
+        void put(String host, String dial, String site, String kind, String health, long bornMs) {
+            put(host, dial, site, kind, 1, health, bornMs);
+        }
+
+        /** The same in a cell. */
+        synchronized void put(
+                String host, String dial, String site, String kind, int cell, String health, long bornMs) {
             hosts.put(
                     host,
                     "{\"host\":\"" + host + "\",\"dial\":\"" + dial + "\",\"site\":\"" + site + "\",\"class\":\""
-                            + kind + "\",\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs
+                            + kind + "\",\"block\":" + cell + ",\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs
                             + "}");
             version++;
             notifyAll();
