--- a/review/2/UpgradeCase.java
+++ b/review/2/UpgradeCase.java
@@ -53,11 +53,12 @@
         Map<String, Kit.Answer> answers = new ConcurrentHashMap<>();
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
-            String id = Kit.newId("stream");
+            String kind = i % 4 == 3 ? "curate" : "lookup"; // the first must never run twice
+            String id = Kit.newId(kind);
             clients.add(Kit.thread("client", () -> {
                 record.line("sent " + id);
                 Kit.Answer answer = Kit.ask(
-                        platform.port, Kit.request(id, "lookup", "", 5, 4_000), 20_000);
+                        platform.port, Kit.request(id, kind, "", 5, 4_000), 20_000);
                 answers.put(id, answer);
                 record.line("answered " + id + " " + answer);
             }));
