Upgrade: the log of a process that drains goes on after its listening socket is closed

Callers saw nothing of this; on-call did: from the moment of SIGTERM on, an old process in an upgrade logged not one line, not even 'drained'.

Cause: System.inheritedChannel() closes the standard streams with its own close (sun.nio.ch.InheritedChannel .detachIOStreams).

Change: before the socket is served, standard error moves to a duplicate of its descriptor (server.InheritedSocket).

--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -4,7 +4,6 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -269,13 +268,7 @@
     private AcceptingChannel<StreamConnection> openPlatformSocket(
             ChannelListener<AcceptingChannel<StreamConnection>> onAccept, OptionMap options) throws IOException {
         if (!config.inherited()) return IoThreadListener.open(worker, config.listen(), onAccept, options);
-        return IoThreadListener.serve(worker, inheritedSocket(), onAccept, options);
-    }
-
-    /** The clients' listening socket, which whoever started the process keeps, and other processes serve with it. */
-    private static ServerSocketChannel inheritedSocket() throws IOException {
-        if (System.inheritedChannel() instanceof ServerSocketChannel socket) return socket;
-        throw new ConfigException("RELAY_INHERITED_FD: descriptor 0 is no listening socket");
+        return IoThreadListener.serve(worker, InheritedSocket.open(), onAccept, options);
     }
 
     private StreamMigration createMigration(Path folder) {
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -187,6 +187,8 @@
             stream.chunk("data: [DONE]\n\n");
             stream.last();
             await("the first has gone", () -> !alive(first));
+            // Guards against a log that ends with the listening socket: closing it closed standard error as well.
+            assertThat(log("a")).contains("draining open_requests=", "drained");
             assertThat(World.readAll(slow.getInputStream())).contains("[DONE]").endsWith("\r\n0\r\n\r\n");
             await("handed over", () -> log("b").contains("cached prefixes taken over count="));
             // Guards against a new process that can't bind the address that the old one holds until it leaves.
