--- a/src/main/java/maplerail/core/AdoptedStreams.java
+++ b/src/main/java/maplerail/core/AdoptedStreams.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -12,7 +13,8 @@
 
 /**
  * Streams that another process started and this one continues. The routing policy is not involved, as their only
- * attempt already streams its response. Each stream ends once, as answered, errored or unwanted, or is detached again.
+ * attempt already streams its response. Each stream ends once, as answered, errored or unwanted, or is released
+ * to another process.
  */
 final class AdoptedStreams {
     private final EventLoop loop;
@@ -42,19 +44,21 @@
         return streams.size();
     }
 
-    /** Detaches at most {@code limit} streams; only streams between two events can be detached. */
-    List<DetachedStream> detach(int limit) {
-        List<DetachedStream> detached = new ArrayList<>();
-        for (Stream stream : List.copyOf(streams)) {
-            if (detached.size() == limit) break;
-            stream.detach().ifPresent(detached::add);
+    /** Suspends at most {@code limit} streams, latest first; only streams between two events can be suspended. */
+    List<SuspendedStream> suspend(int limit) {
+        List<SuspendedStream> suspended = new ArrayList<>();
+        List<Stream> latestFirst = new ArrayList<>(streams);
+        Collections.reverse(latestFirst);
+        for (Stream stream : latestFirst) {
+            if (suspended.size() == limit) break;
+            stream.suspend().ifPresent(suspended::add);
         }
-        return detached;
+        return suspended;
     }
 
     /** Aborts a share of the streams, oldest first; their clients resume them at other gateways. */
     void abort(double share) {
-        List<Stream> all = List.copyOf(streams);
+        List<Stream> all = streams.stream().filter(stream -> !stream.suspended).toList();
         all.subList(0, (int) Math.ceil(share * all.size())).forEach(Stream::abort);
     }
 
@@ -67,6 +71,7 @@
         private EventLoop.Timer stallTimer;
         private double lastEventMs;
         private boolean paused;
+        private boolean suspended;
         private boolean closed;
 
         Stream(String requestClass, String requestId, ResponseObserver observer, double stallTimeoutMs) {
@@ -82,15 +87,68 @@
             startStallTimer(stallTimeoutMs);
         }
 
-        Optional<DetachedStream> detach() {
-            if (paused || !handle.isBetweenEvents()) return Optional.empty();
-            return observer.detachConnection().map(client -> {
-                Object engine = handle.detachConnection();
-                close(Verdict.UNWANTED);
-                return new DetachedStream(requestClass, requestId, client, engine);
+        Optional<SuspendedStream> suspend() {
+            if (paused || suspended || !handle.isBetweenEvents()) return Optional.empty();
+            return observer.suspend().map(client -> {
+                suspended = true;
+                paused = true;
+                return new Suspension(client, handle.suspend());
             });
         }
 
+        /** This stream while another process is asked to continue it. */
+        private final class Suspension implements SuspendedStream {
+            private final Object client;
+            private final Object engine;
+
+            Suspension(Object client, Object engine) {
+                this.client = client;
+                this.engine = engine;
+            }
+
+            @Override
+            public String requestClass() {
+                return requestClass;
+            }
+
+            @Override
+            public String requestId() {
+                return requestId;
+            }
+
+            @Override
+            public Object clientConnection() {
+                return client;
+            }
+
+            @Override
+            public Object engineConnection() {
+                return engine;
+            }
+
+            @Override
+            public void release() {
+                handle.release();
+                observer.release();
+                close(Verdict.UNWANTED);
+            }
+
+            @Override
+            public void resume() {
+                suspended = false;
+                paused = false;
+                lastEventMs = loop.nowMs();
+                observer.resume();
+                handle.resume();
+            }
+
+            @Override
+            public void breakOff() {
+                suspended = false;
+                abort();
+            }
+        }
+
         void abort() {
             if (!close(Verdict.ERRORED)) return;
             handle.abort();
--- a/src/main/java/maplerail/core/AttemptHandle.java
+++ b/src/main/java/maplerail/core/AttemptHandle.java
@@ -34,17 +34,21 @@
     /** Continues reading the response. */
     void resume();
 
-    /** True between two events of a streaming response, when {@link #detachConnection} is possible. */
+    /** True between two events of a streaming response, when {@link #suspend} is possible. */
     default boolean isBetweenEvents() {
         return false;
     }
 
     /**
-     * Detaches the engine's connection, so that another process can continue the stream.
+     * Pauses the response between two events and returns the engine's connection, so that another process can be asked
+     * to continue the stream. {@link #resume} continues it here.
      *
      * @throws IllegalStateException unless {@link #isBetweenEvents}
      */
-    default Object detachConnection() {
-        throw new IllegalStateException("a stream can only be detached between two events");
+    default Object suspend() {
+        throw new IllegalStateException("a stream can only be suspended between two events");
     }
+
+    /** Another process continues the suspended response: its observer is not called any more. */
+    default void release() {}
 }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -1,6 +1,7 @@
 package maplerail.core;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -205,44 +206,51 @@
     /**
      * Aborts a share of the running streams, oldest first, when the process has no time to finish them; their clients
      * resume them elsewhere. Requests that do not stream yet continue. To be called from a timer of the loop, so that
-     * streams that engines have finished are completed first.
+     * streams that engines have finished are completed first. Suspended streams are passed over.
      */
     public void abortStreams(double share) {
-        List<RequestRecord> streams = registry.streaming();
-        for (RequestRecord record : streams.subList(0, (int) Math.ceil(share * streams.size()))) {
-            if (!registry.finish(record, Verdict.ERRORED)) continue;
-            dispatcher.abandon(record);
-            record.observer.onBroken();
-        }
+        List<RequestRecord> streams = registry.streaming().stream()
+                .filter(record -> !record.suspended)
+                .toList();
+        streams.subList(0, (int) Math.ceil(share * streams.size())).forEach(this::abortStream);
         adoptedStreams.abort(share);
     }
 
+    private void abortStream(RequestRecord record) {
+        if (!registry.finish(record, Verdict.ERRORED)) return;
+        dispatcher.abandon(record);
+        record.observer.onBroken();
+    }
+
     /**
-     * Detaches at most {@code limit} running streams, so that another process can continue them. Streams in the middle
-     * of an event, or with a slow client, are not detached. A detached stream is counted by the process in which it
-     * ends.
+     * Suspends at most {@code limit} running streams, so that another process can be asked to continue them. The latest
+     * come first, as they have the longest to run. Streams in the middle of an event, or with a slow client, are not
+     * suspended. A stream that is released is counted by the process in which it ends.
      */
-    public List<DetachedStream> detachStreams(int limit) {
-        List<DetachedStream> detached = new ArrayList<>(adoptedStreams.detach(limit));
-        for (RequestRecord record : registry.streaming()) {
-            if (detached.size() == limit) break;
-            detach(record).ifPresent(detached::add);
+    public List<SuspendedStream> suspendStreams(int limit) {
+        List<SuspendedStream> suspended = new ArrayList<>();
+        List<RequestRecord> latestFirst = new ArrayList<>(registry.streaming());
+        Collections.reverse(latestFirst);
+        for (RequestRecord record : latestFirst) {
+            if (suspended.size() == limit) break;
+            suspend(record).ifPresent(suspended::add);
         }
-        return detached;
+        suspended.addAll(adoptedStreams.suspend(limit - suspended.size()));
+        return suspended;
     }
 
-    private Optional<DetachedStream> detach(RequestRecord record) {
+    private Optional<SuspendedStream> suspend(RequestRecord record) {
         Attempt attempt = record.winner;
-        if (attempt.ended || attempt.paused || !attempt.handle.isBetweenEvents()) return Optional.empty();
-        return record.observer.detachConnection().map(client -> {
-            Object engine = attempt.handle.detachConnection();
-            dispatcher.onClientDisconnected(record);
-            String className = record.terms.of(record.request).name();
-            return new DetachedStream(className, record.request.id(), client, engine);
+        if (record.suspended || attempt.ended || attempt.paused || !attempt.handle.isBetweenEvents())
+            return Optional.empty();
+        return record.observer.suspend().map(client -> {
+            record.suspended = true;
+            attempt.paused = true;
+            return new SuspendedRequest(record, attempt, client, attempt.handle.suspend());
         });
     }
 
-    /** Continues a stream that another process detached; {@code connect} connects its engine's response. */
+    /** Continues a stream that another process released; {@code connect} connects its engine's response. */
     public RequestHandle adoptStream(
             String requestClass,
             String requestId,
@@ -339,6 +347,61 @@
         }
     }
 
+    /** A request whose stream another process is asked to continue. */
+    private final class SuspendedRequest implements SuspendedStream {
+        private final RequestRecord record;
+        private final Attempt attempt;
+        private final Object client;
+        private final Object engine;
+
+        SuspendedRequest(RequestRecord record, Attempt attempt, Object client, Object engine) {
+            this.record = record;
+            this.attempt = attempt;
+            this.client = client;
+            this.engine = engine;
+        }
+
+        @Override
+        public String requestClass() {
+            return record.terms.of(record.request).name();
+        }
+
+        @Override
+        public String requestId() {
+            return record.request.id();
+        }
+
+        @Override
+        public Object clientConnection() {
+            return client;
+        }
+
+        @Override
+        public Object engineConnection() {
+            return engine;
+        }
+
+        @Override
+        public void release() {
+            attempt.handle.release();
+            record.observer.release();
+            dispatcher.onClientDisconnected(record);
+        }
+
+        @Override
+        public void resume() {
+            record.suspended = false;
+            record.observer.resume();
+            relay.onClientWritable(record);
+        }
+
+        @Override
+        public void breakOff() {
+            record.suspended = false;
+            abortStream(record);
+        }
+    }
+
     private final class OpenRequest implements RequestHandle {
         private final RequestRecord record;
 
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -20,6 +20,9 @@
 
     boolean admitted;
     boolean finished;
+    /** True while its stream is a {@link SuspendedStream}. */
+    boolean suspended;
+
     double lastCancelMs = Double.NEGATIVE_INFINITY;
     /** The attempt whose events are sent to the client; null before the first event. */
     Attempt winner;
--- a/src/main/java/maplerail/core/ResponseObserver.java
+++ b/src/main/java/maplerail/core/ResponseObserver.java
@@ -50,10 +50,17 @@
     void onFailed(Reason reason);
 
     /**
-     * Detaches the client's connection between two events, so that another process can continue the stream. All events
-     * so far have been sent, and the observer is not called any more. Empty if that is currently impossible.
+     * Suspends the client's connection between two events, so that another process can be asked to continue the stream.
+     * All events so far have been sent; until {@link #resume}, nothing is read or written and the observer is not called.
+     * Empty if that is currently impossible.
      */
-    default Optional<Object> detachConnection() {
+    default Optional<Object> suspend() {
         return Optional.empty();
     }
+
+    /** Ends the suspension: the stream continues here. */
+    default void resume() {}
+
+    /** Another process continues the stream: the observer is not called any more, and its connection stays open. */
+    default void release() {}
 }
--- a/src/main/java/maplerail/front/AdoptedConnection.java
+++ b/src/main/java/maplerail/front/AdoptedConnection.java
@@ -38,6 +38,16 @@
         return readAhead.isFull();
     }
 
+    /** Stops reading the client's input, as another process may continue to read it. */
+    public void suspend() {
+        readAhead.suspend();
+    }
+
+    /** Watches again after {@link #suspend}. */
+    public void resume() {
+        readAhead.resume();
+    }
+
     /** Reports that the response has been sent; {@code closes} if its head announced {@code Connection: close}. */
     public void finish(boolean closes) {
         connections.finish(connection, closes);
--- a/src/main/java/maplerail/front/DisconnectDetector.java
+++ b/src/main/java/maplerail/front/DisconnectDetector.java
@@ -44,6 +44,18 @@
         return conduit != null && conduit.hasBuffered();
     }
 
+    /** Stops reading the client's input, as another process may continue to read it. */
+    public static void suspend(HttpServerExchange exchange) {
+        ReadAheadConduit conduit = readAhead(exchange);
+        if (conduit != null) conduit.suspend();
+    }
+
+    /** Watches again after {@link #suspend}. */
+    public static void resume(HttpServerExchange exchange) {
+        ReadAheadConduit conduit = readAhead(exchange);
+        if (conduit != null) conduit.resume();
+    }
+
     private static ReadAheadConduit readAhead(HttpServerExchange exchange) {
         return exchange.getConnection() instanceof HttpServerConnection connection
                         && connection.getOriginalSourceConduit() instanceof ReadAheadConduit conduit
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -24,6 +24,7 @@
     private long receivedBytes; // without discarded bytes
     private boolean ended;
     private boolean discarding;
+    private boolean suspended;
 
     /** Creates a conduit that calls {@code onRead} each time bytes are read from it. */
     ReadAheadConduit(StreamSourceConduit source, Runnable onRead) {
@@ -33,6 +34,7 @@
 
     /** Reads the available input into the buffer; true if the client has closed its side or the connection failed. */
     boolean pollEnd() {
+        if (suspended) return ended;
         if (discarding) return pollEndWhileDiscarding();
         int bufferedBefore = buffered.remaining();
         try {
@@ -51,6 +53,18 @@
         return ended;
     }
 
+    /** Reads nothing from the socket any more, as another process may continue to read it. */
+    void suspend() {
+        suspended = true;
+        next.suspendReads();
+    }
+
+    /** Ends the suspension: no other process reads the socket. */
+    void resume() {
+        suspended = false;
+        resumeReads();
+    }
+
     private int receive(ByteBuffer into) throws IOException {
         int count = next.read(into);
         if (count > 0) receivedBytes += count;
--- a/src/main/java/maplerail/front/platform/PlatformResponse.java
+++ b/src/main/java/maplerail/front/platform/PlatformResponse.java
@@ -141,7 +141,7 @@
     }
 
     @Override
-    public Optional<Object> detachConnection() {
+    public Optional<Object> suspend() {
         if (finished
                 || completed
                 || paused
@@ -162,12 +162,21 @@
             onDisconnected();
             return Optional.empty();
         }
-        finished = true;
         sink.suspendWrites();
-        http.getOriginalSourceConduit().suspendReads();
+        DisconnectDetector.suspend(exchange);
         boolean closes = !exchange.isPersistent()
                 || "close".equals(exchange.getResponseHeaders().getFirst(Headers.CONNECTION));
-        return Optional.of(new ResumedResponse.DetachedClient(http.getChannel(), closes));
+        return Optional.of(new ResumedResponse.SuspendedClient(http.getChannel(), closes));
+    }
+
+    @Override
+    public void resume() {
+        DisconnectDetector.resume(exchange);
+    }
+
+    @Override
+    public void release() {
+        finished = true;
     }
 
     @Override
--- a/src/main/java/maplerail/front/platform/ResumedResponse.java
+++ b/src/main/java/maplerail/front/platform/ResumedResponse.java
@@ -132,19 +132,28 @@
     }
 
     @Override
-    public Optional<Object> detachConnection() {
+    public Optional<Object> suspend() {
         if (finished || completed || client.isDisconnected() || client.hasUnreadInput() || !unsent.isEmpty())
             return Optional.empty();
-        finished = true;
-        connection.getSourceChannel().suspendReads();
+        client.suspend();
         connection.getSinkChannel().suspendWrites();
-        return Optional.of(new DetachedClient(connection, closes));
+        return Optional.of(new SuspendedClient(connection, closes));
+    }
+
+    @Override
+    public void resume() {
+        client.resume();
+    }
+
+    @Override
+    public void release() {
+        finished = true;
     }
 
     /**
-     * A client connection that was detached between two events and is no longer read or written here.
+     * A client connection that is suspended between two events, neither read nor written here.
      *
      * @param closes true if the response's head announced {@code Connection: close}
      */
-    public record DetachedClient(StreamConnection connection, boolean closes) {}
+    public record SuspendedClient(StreamConnection connection, boolean closes) {}
 }
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -32,6 +32,14 @@
     DIALS_KEPT,
     DIALS_FAILED,
     DIALS_GIVEN_UP,
+    /**
+     * Streams that came from a process that stops and those that were refused; streams that went to one that serves on,
+     * and those that were offered and continue here.
+     */
+    STREAMS_TAKEN_OVER,
+    STREAMS_REFUSED,
+    STREAMS_HANDED_ON,
+    STREAMS_KEPT,
     /** Requests refused because the process sends its clients away. */
     REQUESTS_REFUSED_DRAINING,
     /** Clients' connections that the program ended, by its reason. */
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -33,7 +33,6 @@
 
     private volatile long[] members; // as told to members(); null as for peers
     private volatile long[] outliers; // as told to outliers(); null as for peers
-    private volatile long[] streams; // taken over, handed on; null where no other process has the same socket
 
     /** The final answers of one class of requests. */
     public static final class Tally {
@@ -93,6 +92,11 @@
         events.incrementAndGet(event.ordinal());
     }
 
+    /** How often something has happened. */
+    public long countOf(EventCount event) {
+        return events.get(event.ordinal());
+    }
+
     /** How late timers ran. */
     public Histogram timerDelays() {
         return timerDelays;
@@ -133,11 +137,6 @@
         outliers = new long[] {held, sent, heard, dropped};
     }
 
-    /** Streams that came from a process that left, and that went to one that serves on. */
-    public void streams(long takenOver, long handedOn) {
-        streams = new long[] {takenOver, handedOn};
-    }
-
     /** All figures now. */
     public List<Figure> figures() {
         List<Figure> out = new ArrayList<>();
@@ -158,11 +157,6 @@
             out.add(new Figure(event.figureName(), events.get(event.ordinal()), true));
         }
         for (Histogram histogram : List.of(timerDelays, loopTurns, dials)) out.addAll(histogram.figures());
-        long[] moved = streams;
-        if (moved != null) {
-            out.add(new Figure("streams_taken_over", moved[0], true));
-            out.add(new Figure("streams_handed_on", moved[1], true));
-        }
         long[] failing = outliers;
         if (failing != null) {
             String[] names = {"outliers_held", "outliers_sent", "outliers_heard", "outliers_dropped"};
--- a/src/main/java/maplerail/migration/DescriptorChannel.java
+++ b/src/main/java/maplerail/migration/DescriptorChannel.java
@@ -24,29 +24,45 @@
  * descriptors are passed along with bytes (SCM_RIGHTS, {@code unix(7)}). A process listens once it can serve; the
  * process that started to listen last owns the address.
  *
- * <p>On a connection the listener sends its process id (u64). Then, for each stream, the sender writes a
- * {@link MigratedStream} (preceded by its length as u16, both descriptors attached to its first byte), and the listener
- * answers 1 (accepted) or 0 (rejected).
+ * <p>On a connection the listener sends a u64: its process id in the low half, {@link #PROTOCOL_VERSION} in the high half
+ * (0 in earlier versions). Then, for each stream, the sender writes an offer: a u16 with the length of a
+ * {@link MigratedStream}, and the description, both descriptors attached to its first byte. The listener answers 1
+ * (accepted) or 0 (rejected). The stream belongs to the sender until it writes the commit byte; if the connection ends
+ * before, the listener drops the stream. An offer of an earlier version, without {@link #COMMIT_FLAG} in its length, is
+ * committed by its acceptance.
  */
 public final class DescriptorChannel implements Closeable {
     private static final Logger LOG = LoggerFactory.getLogger(DescriptorChannel.class);
-    private static final int TIMEOUT_MS = 1_000; // for each step of the other process
+    private static final int TIMEOUT_MS = 1_000; // for a connection, and an answer of an earlier version
     private static final int ANCILLARY_BYTES = 256; // two descriptors and their header
     private static final int ACCEPTED = 1;
     private static final int REJECTED = 0;
+    private static final int COMMIT = 1;
     private static final int LENGTH_BYTES = 2;
+    private static final int COMMIT_FLAG = 0x8000; // in an offer's length: a commit byte will follow
     private static final int DESCRIPTORS = 2;
     private static final int MAX_PATH_BYTES = 100; // a Unix socket address holds at most 107
+    private static final long PROTOCOL_VERSION = 1;
+    private static final int PROCESS_ID_BITS = 32;
     private static final String LIBRARY_FOLDER_PROPERTY = "org.newsclub.net.unix.library.tmpDir";
 
-    /** Receives streams with their sockets. */
+    /** Decides on streams that other processes offer. */
     @FunctionalInterface
     public interface Receiver {
         /**
-         * Returns whether the stream was accepted; if not, the sockets have been closed. Called on the channel's own
-         * thread.
+         * Accepts or rejects a stream; empty if it is rejected, and its sockets have been closed. Called on the channel's
+         * own thread. Until the commit neither socket may be read, written or registered with a selector.
          */
-        boolean receive(MigratedStream stream, SocketChannel client, SocketChannel engine);
+        Optional<AcceptedStream> offer(MigratedStream stream, SocketChannel client, SocketChannel engine);
+    }
+
+    /** A stream that was accepted and still belongs to its sender; exactly one method is called. */
+    public interface AcceptedStream {
+        /** The sender has let the stream go: it continues here. */
+        void commit();
+
+        /** The sender keeps the stream: its sockets are closed here. */
+        void abandon();
     }
 
     private final AFUNIXServerSocket socket;
@@ -97,30 +113,59 @@
         sender.setAncillaryReceiveBufferSize(ANCILLARY_BYTES);
         DataOutputStream out = new DataOutputStream(sender.getOutputStream());
         DataInputStream in = new DataInputStream(sender.getInputStream());
-        out.writeLong(processId);
+        out.writeLong(PROTOCOL_VERSION << PROCESS_ID_BITS | processId);
         while (true) {
             byte[] size = in.readNBytes(LENGTH_BYTES);
             if (size.length < LENGTH_BYTES) return;
-            int length = (size[0] & 0xff) << 8 | size[1] & 0xff;
+            int header = (size[0] & 0xff) << 8 | size[1] & 0xff;
+            int length = header & ~COMMIT_FLAG;
             if (length > MigratedStream.MAX_BYTES)
                 throw new IOException("stream description is too long: " + length + " bytes");
             byte[] bytes = in.readNBytes(length);
             FileDescriptor[] received = sender.getReceivedFileDescriptors();
             FileDescriptor[] descriptors = received == null ? new FileDescriptor[0] : received;
-            out.write(receive(bytes, descriptors, receiver) ? ACCEPTED : REJECTED);
+            Optional<AcceptedStream> accepted = receive(bytes, descriptors, receiver);
+            if (accepted.isEmpty()) out.write(REJECTED);
+            else if ((header & COMMIT_FLAG) != 0) awaitCommit(accepted.get(), in, out);
+            else acceptAtOnce(accepted.get(), out);
         }
     }
 
-    private static boolean receive(byte[] bytes, FileDescriptor[] descriptors, Receiver receiver) throws IOException {
+    /** Waits for the commit byte without a time limit: only the sender knows whether it still has the stream. */
+    private static void awaitCommit(AcceptedStream stream, DataInputStream in, DataOutputStream out)
+            throws IOException {
+        boolean committed = false;
+        try {
+            out.write(ACCEPTED);
+            committed = in.read() == COMMIT;
+        } finally {
+            if (committed) stream.commit();
+            else stream.abandon();
+        }
+    }
+
+    private static void acceptAtOnce(AcceptedStream stream, DataOutputStream out) throws IOException {
+        stream.commit();
+        out.write(ACCEPTED);
+    }
+
+    private static Optional<AcceptedStream> receive(byte[] bytes, FileDescriptor[] descriptors, Receiver receiver)
+            throws IOException {
         try {
             MigratedStream stream = MigratedStream.decode(bytes);
-            if (descriptors.length != DESCRIPTORS) return false;
+            if (descriptors.length != DESCRIPTORS) return Optional.empty();
             SocketChannel client = duplicateChannel(descriptors[0], stream.client());
-            SocketChannel engine = duplicateChannel(descriptors[1], stream.engine());
-            return receiver.receive(stream, client, engine);
+            SocketChannel engine;
+            try {
+                engine = duplicateChannel(descriptors[1], stream.engine());
+            } catch (IOException | RuntimeException e) {
+                client.close();
+                throw e;
+            }
+            return receiver.offer(stream, client, engine);
         } catch (IOException e) {
             LOG.warn("stream not received error={}", e.toString());
-            return false;
+            return Optional.empty();
         } finally {
             for (FileDescriptor descriptor : descriptors) new FileOutputStream(descriptor).close();
         }
@@ -139,14 +184,28 @@
         socket.close();
     }
 
+    /** What became of a stream that was offered. */
+    public enum OfferResult {
+        /** The other process has it. */
+        TAKEN,
+        /** The other process rejected it. */
+        REJECTED,
+        /** The other process does not have it and can't be reached any more; the connection is closed. */
+        UNANSWERED,
+        /** The other process, of an earlier version, may have it; the connection is closed. */
+        UNKNOWN
+    }
+
     /** The sending side: one connection to the process that takes over. */
     public static final class Sender implements Closeable {
         private final AFUNIXSocket socket;
         private final DataInputStream in;
+        private final boolean commits;
 
-        private Sender(AFUNIXSocket socket, DataInputStream in) {
+        private Sender(AFUNIXSocket socket, DataInputStream in, boolean commits) {
             this.socket = socket;
             this.in = in;
+            this.commits = commits;
         }
 
         /** Connects to the process that listens in a folder; empty if there is none or it is this process itself. */
@@ -154,33 +213,64 @@
             Path path = socketPath(folder);
             if (!Files.exists(path)) return Optional.empty();
             AFUNIXSocket socket = AFUNIXSocket.newInstance();
-            socket.connect(AFUNIXSocketAddress.of(path), TIMEOUT_MS);
-            socket.setSoTimeout(TIMEOUT_MS);
-            DataInputStream in = new DataInputStream(socket.getInputStream());
-            if (in.readLong() != processId) return Optional.of(new Sender(socket, in));
+            try {
+                socket.connect(AFUNIXSocketAddress.of(path), TIMEOUT_MS);
+                socket.setSoTimeout(TIMEOUT_MS);
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                long greeting = in.readLong();
+                boolean commits = greeting >>> PROCESS_ID_BITS >= PROTOCOL_VERSION;
+                if ((int) greeting != (int) processId) return Optional.of(new Sender(socket, in, commits));
+            } catch (IOException e) {
+                socket.close();
+                throw e;
+            }
             socket.close();
             return Optional.empty();
         }
 
         /**
-         * Sends a stream; returns whether the other process accepted it. After an exception, send must not be called
-         * again.
+         * Offers a stream whose sockets are not read or written meanwhile. After {@code UNANSWERED} or {@code UNKNOWN}
+         * the sender must not be used again.
+         *
+         * @param timeoutMs how long to wait for the answer; ignored for a process of an earlier version, which decides by
+         *     its answer
+         * @throws IOException if the stream can't be described, and nothing was sent
          */
-        public boolean send(MigratedStream stream, SocketChannel client, SocketChannel engine) throws IOException {
-            byte[] bytes = stream.encode();
-            byte[] framed = new byte[LENGTH_BYTES + bytes.length];
-            framed[0] = (byte) (bytes.length >>> 8);
-            framed[1] = (byte) bytes.length;
-            System.arraycopy(bytes, 0, framed, LENGTH_BYTES, bytes.length);
-            socket.setOutboundFileDescriptors(
-                    SocketDescriptors.descriptorOf(client), SocketDescriptors.descriptorOf(engine));
-            socket.getOutputStream().write(framed);
-            return in.readUnsignedByte() == ACCEPTED;
+        public OfferResult offer(MigratedStream stream, SocketChannel client, SocketChannel engine, int timeoutMs)
+                throws IOException {
+            byte[] offer = frame(stream.encode());
+            FileDescriptor clientDescriptor = SocketDescriptors.descriptorOf(client);
+            FileDescriptor engineDescriptor = SocketDescriptors.descriptorOf(engine);
+            try {
+                socket.setSoTimeout(commits ? Math.max(1, timeoutMs) : TIMEOUT_MS);
+                socket.setOutboundFileDescriptors(clientDescriptor, engineDescriptor);
+                socket.getOutputStream().write(offer);
+                if (in.readUnsignedByte() != ACCEPTED) return OfferResult.REJECTED;
+                if (commits) socket.getOutputStream().write(COMMIT);
+                return OfferResult.TAKEN;
+            } catch (IOException e) {
+                LOG.warn("stream offered without an answer request={} error={}", stream.requestId(), e.toString());
+                close(); // before the stream continues here, so that the other process can't take it any more
+                return commits ? OfferResult.UNANSWERED : OfferResult.UNKNOWN;
+            }
+        }
+
+        private byte[] frame(byte[] description) {
+            int header = description.length | (commits ? COMMIT_FLAG : 0);
+            byte[] framed = new byte[LENGTH_BYTES + description.length];
+            framed[0] = (byte) (header >>> 8);
+            framed[1] = (byte) header;
+            System.arraycopy(description, 0, framed, LENGTH_BYTES, description.length);
+            return framed;
         }
 
         @Override
-        public void close() throws IOException {
-            socket.close();
+        public void close() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                LOG.debug("connection to the other process not closed", e);
+            }
         }
     }
 }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -92,7 +92,7 @@
         finish();
     }
 
-    /** True while the response is between two events, when {@link #detachConnection} is possible. */
+    /** True while the response is between two events, when {@link #suspend} is possible. */
     public boolean isBetweenEvents() {
         return !done
                 && !failing
@@ -104,20 +104,24 @@
                 && handler.isBetweenEvents();
     }
 
-    /** Detaches the connection between two events; the handler is not called any more. */
-    public DetachedConnection detachConnection() {
+    /** Pauses the response between two events, so that another process can be asked to continue it. */
+    public SuspendedConnection suspend() {
         if (!isBetweenEvents()) throw new IllegalStateException("not between two events");
-        PooledConnection detached = pooledConnection;
+        pause();
+        pooledConnection.connection.getSinkChannel().suspendWrites();
+        return new SuspendedConnection(pooledConnection.connection, pooledConnection.remoteAddress);
+    }
+
+    /** Forgets the connection, which another process has; the handler is not called any more. */
+    public void release() {
+        PooledConnection released = pooledConnection;
         pooledConnection = null;
         finish();
-        detached.connection.getSourceChannel().suspendReads();
-        detached.connection.getSinkChannel().suspendWrites();
-        pool.unregister(detached);
-        return new DetachedConnection(detached.connection, detached.remoteAddress);
+        pool.unregister(released);
     }
 
-    /** A connection that was detached in the middle of a response. */
-    public record DetachedConnection(StreamConnection connection, InetSocketAddress remoteAddress) {}
+    /** A connection that is suspended in the middle of a response. */
+    public record SuspendedConnection(StreamConnection connection, InetSocketAddress remoteAddress) {}
 
     /** Stops reading the response, which puts backpressure on its sender. */
     public void pause() {
--- a/src/main/java/maplerail/net/ConnectionPool.java
+++ b/src/main/java/maplerail/net/ConnectionPool.java
@@ -307,7 +307,7 @@
     /** Removes a connection that the pool no longer owns. */
     void unregister(PooledConnection pooled) {
         openConnections.remove(pooled);
-        pooled.connection.getCloseSetter().set(null);
+        pooled.connection.getCloseSetter().set(closed -> {});
     }
 
     void returnIdle(PooledConnection pooled) {
--- a/src/main/java/maplerail/net/EngineAttempt.java
+++ b/src/main/java/maplerail/net/EngineAttempt.java
@@ -51,7 +51,12 @@
     }
 
     @Override
-    public Object detachConnection() {
-        return call.detachConnection();
+    public Object suspend() {
+        return call.suspend();
+    }
+
+    @Override
+    public void release() {
+        call.release();
     }
 }
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -22,9 +22,11 @@
 import maplerail.core.DrainSchedule;
 import maplerail.core.Lifecycle.Phase;
 import maplerail.discovery.PlatformDiscovery;
+import maplerail.front.ConnectionManager;
 import maplerail.front.admin.AdminListener;
 import maplerail.front.admin.AdminOperations;
 import maplerail.front.platform.PlatformFront;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Figure;
 import maplerail.net.ConnectionPool;
@@ -272,9 +274,12 @@
     }
 
     private StreamMigration createMigration(Path folder) {
+        ConnectionManager clients = listener.connections();
         StreamMigration created = new StreamMigration(
-                folder, worker, loop, broker, engines, listener.connections(), metrics, descriptors.adoptedStreams());
-        loop.schedule(loop.nowMs() + MIGRATION_DELAY_MS, created::listen);
+                new StreamAdoption(worker, loop, broker, engines, clients, metrics, descriptors),
+                new StreamHandover(folder, worker, loop, broker, clients, metrics));
+        loop.schedule(
+                loop.nowMs() + MIGRATION_DELAY_MS, () -> created.adoption().listen(folder));
         return created;
     }
 
@@ -400,7 +405,7 @@
             tools.map(ToolGateway::listener).ifPresent(IoUtils::safeClose);
             peers.close();
             if (admin != null) admin.close();
-            migration.ifPresent(StreamMigration::close);
+            migration.ifPresent(streams -> streams.adoption().close());
             loop.close();
             worker.shutdownNow();
         });
@@ -444,7 +449,7 @@
 
         @Override
         public boolean handsStreamsOn() {
-            return migration.map(StreamMigration::isConnected).orElse(false);
+            return migration.map(streams -> streams.handover().isAccepting()).orElse(false);
         }
 
         @Override
@@ -462,7 +467,7 @@
         public boolean hasOpenWork() {
             return listener.isBusy()
                     || openRequests() > 0
-                    || migration.map(StreamMigration::inTransit).orElse(0) > 0
+                    || migration.map(StreamMigration::isBusy).orElse(false)
                     || tools.map(ToolGateway::isBusy).orElse(false);
         }
 
@@ -475,7 +480,10 @@
         @Override
         public void onDrained() {
             if (lifecycle.isListening()) tools.ifPresent(front -> front.front().close());
-            LOG.info("drained{}", migration.map(streams -> " " + streams).orElse(""));
+            LOG.info(
+                    "drained streams_handed_on={} streams_adopted={}",
+                    metrics.countOf(EventCount.STREAMS_HANDED_ON),
+                    metrics.countOf(EventCount.STREAMS_TAKEN_OVER));
             lifecycle.onStopped();
             opened.complete(null);
             stopped.countDown();
--- a/src/main/java/org/xnio/nio/AdoptedSocket.java
+++ b/src/main/java/org/xnio/nio/AdoptedSocket.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 
@@ -29,6 +30,15 @@
         if (key != null) key.cancel();
     }
 
+    /**
+     * Closes a released socket's descriptor, unless the selector still has it: closing it then would shut the connection
+     * down for the other process too.
+     */
+    public static void closeReleased(StreamConnection connection) {
+        SocketChannel socket = of(connection);
+        if (socket != null && !socket.isRegistered()) IoUtils.safeClose(socket);
+    }
+
     /** A connection on a connected socket; called on the thread that is to serve it. */
     public static StreamConnection adopt(XnioIoThread thread, SocketChannel socket) throws IOException {
         socket.configureBlocking(false);
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -13,18 +13,24 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import maplerail.migration.DescriptorChannel;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The packaged program, started beside itself on one listening socket that whoever starts it keeps. */
 class UpgradeIT {
@@ -41,6 +47,8 @@
             kill 9, @started;
             """;
 
+    private static final int FEW_DESCRIPTORS = 512; // of which a sixth may be streams of another process
+
     @TempDir
     Path folder;
 
@@ -310,6 +318,106 @@
         }
     }
 
+    /** Opens streams that run until {@link #finish}. */
+    private List<Socket> openStreams(int count, List<StandIn.Exchange> exchanges) throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Socket client = new Socket("127.0.0.1", port);
+            client.setSoTimeout(20_000);
+            client.getOutputStream()
+                    .write(World.request("held" + i, i % 4 == 3 ? "repair-order" : "lookup", "5.0")
+                            .getBytes(StandardCharsets.UTF_8));
+            clients.add(client);
+            exchanges.add(World.take(held));
+        }
+        return clients;
+    }
+
+    /** Ends streams at their engines, and expects each client to get the whole of its answer. */
+    private static void finish(List<Socket> clients, List<StandIn.Exchange> exchanges) throws Exception {
+        for (StandIn.Exchange stream : exchanges) {
+            stream.chunk("data: [DONE]\n\n");
+            stream.last();
+        }
+        for (Socket client : clients) {
+            assertThat(World.untilLastChunk(client.getInputStream()))
+                    .containsSubsequence("data: 1", "data: [DONE]")
+                    .endsWith("\r\n0\r\n\r\n");
+            client.close();
+        }
+    }
+
+    /** Writes the configuration "few": few descriptors, and clients that ask for the rest of a stream or don't. */
+    private void configureFewDescriptors(boolean resume) throws Exception {
+        world.sockets(FEW_DESCRIPTORS);
+        if (resume) world.settings("\"pinLimitMs\"", "\"resume\":true,\"pinLimitMs\"");
+        Files.writeString(folder.resolve("few"), world.config("127.0.0.1:1"));
+    }
+
+    /** Guards against streams that end with an upgrade, as the new process has no room for them. */
+    @ParameterizedTest(name = "clients resume: {0}")
+    @ValueSource(booleans = {false, true})
+    void streamsThatTheNewProcessHasNoRoomForGoOnInTheOldOne(boolean resume) throws Exception {
+        configureFewDescriptors(resume);
+        long first = start("a", "few");
+        awaitReady("a");
+        List<StandIn.Exchange> streams = new ArrayList<>();
+        List<Socket> clients = openStreams(110, streams);
+        start("b", "few");
+        awaitReady("b");
+        signal("TERM", first);
+        await("b is full", () -> figure("b", "streams_refused") > 0);
+        finish(clients, streams);
+        await("a has gone", () -> !alive(first));
+        assertThat(figure("b", "streams_taken_over")).isEqualTo(FEW_DESCRIPTORS / 6);
+        assertThat(log("a"))
+                .contains("streams continue here offer=REJECTED")
+                .contains("drained streams_handed_on=" + FEW_DESCRIPTORS / 6);
+        assertThat(reader.count("POST")).as("none was begun again").isEqualTo(110);
+    }
+
+    /** What a process does with streams that it is offered. */
+    private enum Answer {
+        REJECTS,
+        HANGS,
+        ENDS
+    }
+
+    /** Guards against streams that end with an upgrade, as the process that serves on does not answer or ends. */
+    @ParameterizedTest(name = "{0}, clients resume: {1}")
+    @CsvSource({"REJECTS, false", "REJECTS, true", "HANGS, false", "HANGS, true", "ENDS, false", "ENDS, true"})
+    void streamsGoOnWhateverTheOtherProcessAnswers(Answer answer, boolean resume) throws Exception {
+        configureFewDescriptors(resume);
+        long first = start("a", "few");
+        awaitReady("a");
+        await("it takes streams", () -> Files.exists(folder.resolve("maplerail-streams")));
+        List<StandIn.Exchange> streams = new ArrayList<>();
+        List<Socket> clients = openStreams(6, streams);
+        CountDownLatch offered = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        try (DescriptorChannel other = DescriptorChannel.listen(folder, 1, (stream, client, engine) -> {
+            offered.countDown();
+            try {
+                if (answer == Answer.HANGS) over.await();
+                client.close();
+                engine.close();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            if (answer == Answer.ENDS) throw new IllegalStateException("the process ends");
+            return Optional.empty();
+        })) {
+            signal("TERM", first);
+            assertThat(offered.await(20, TimeUnit.SECONDS)).isTrue();
+            finish(clients, streams);
+        } finally {
+            over.countDown();
+        }
+        await("a has gone", () -> !alive(first));
+        assertThat(log("a")).contains("drained streams_handed_on=0");
+        assertThat(reader.count("POST")).as("none was begun again").isEqualTo(6);
+    }
+
     private long figure(String name, String figure) {
         Matcher door =
                 Pattern.compile("operators are answered at \\S*:(\\d+)\\s").matcher(log(name));
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -31,6 +31,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the broker with a scripted routing policy and a fake transport. */
 class BrokerTest {
@@ -60,6 +61,7 @@
     private final List<Consumer<ReservePlaceResult>> placeResults = new ArrayList<>();
     private Broker broker;
     private RequestHandle adoptedHandle;
+    private final List<String> connectionCalls = new ArrayList<>(); // of suspensions of the client's connection
 
     private static final class TestLoop implements EventLoop {
         double now = 1_000;
@@ -136,10 +138,16 @@
         }
 
         @Override
-        public Object detachConnection() {
-            transportCalls.add("detach");
+        public Object suspend() {
+            transportCalls.add("suspend");
+            paused = true;
             return this;
         }
+
+        @Override
+        public void release() {
+            transportCalls.add("release");
+        }
     }
 
     @BeforeEach
@@ -261,24 +269,33 @@
                 .containsEntry("current", 0L);
     }
 
-    /** A detached stream belongs to another process, and this one neither ends nor counts it. */
+    /** A released stream belongs to another process, and this one neither ends nor counts it. */
     @Test
-    void aStreamIsDetachedOnlyBetweenEventsAndIfItsClientCanBeDetached() {
+    void aStreamIsSuspendedOnlyBetweenEventsAndReleasedOnce() {
         submit("one", new RoutingAction.StartAttempt(1, WRITER, 0));
-        assertThat(broker.detachStreams(9)).as("not streaming").isEmpty();
+        assertThat(broker.suspendStreams(9)).as("not streaming").isEmpty();
         sentAttempts.get(0).observer.onEvent(new byte[1]);
-        assertThat(broker.detachStreams(9)).as("within an event").isEmpty();
+        assertThat(broker.suspendStreams(9)).as("within an event").isEmpty();
         betweenEvents = true;
-        assertThat(broker.detachStreams(9)).as("slow client").isEmpty();
-        assertThat(transportCalls).doesNotContain("detach");
+        assertThat(broker.suspendStreams(9)).as("slow client").isEmpty();
+        assertThat(transportCalls).doesNotContain("suspend");
         clientConnection = "client";
-        assertThat(broker.detachStreams(0)).as("not more than the limit").isEmpty();
-        assertThat(broker.detachStreams(9))
-                .containsExactly(new DetachedStream("a", "one", "client", sentAttempts.get(0)));
-        assertThat(broker.detachStreams(9)).isEmpty();
+        assertThat(broker.suspendStreams(0)).as("not more than the limit").isEmpty();
+        SuspendedStream suspended = suspendOne();
+        assertThat(List.of(
+                        suspended.requestClass(),
+                        suspended.requestId(),
+                        suspended.clientConnection(),
+                        suspended.engineConnection()))
+                .containsExactly("a", "one", "client", sentAttempts.get(0));
+        assertThat(broker.suspendStreams(9)).as("suspended already").isEmpty();
+        assertThat(broker.openRequests()).as("until it is released").isEqualTo(1);
+        suspended.release();
+        assertThat(broker.suspendStreams(9)).isEmpty();
         sentAttempts.get(0).observer.onEnded(AttemptOutcome.COMPLETED, 0);
         loop.runUntil(30_000);
         assertThat(clientCalls).containsExactly("event");
+        assertThat(connectionCalls).containsExactly("suspend", "release");
         assertThat(broker.openRequests()).isZero();
         assertThat(metricValues())
                 .containsEntry("current", 0L)
@@ -286,21 +303,66 @@
                 .containsEntry("errored.a", 0L);
     }
 
+    private SuspendedStream suspendOne() {
+        List<SuspendedStream> suspended = broker.suspendStreams(9);
+        assertThat(suspended).hasSize(1);
+        return suspended.get(0);
+    }
+
+    /** Guards against streams that end with an upgrade, as no other process takes them. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aStreamThatNoOtherProcessTakesGoesOn(boolean adopted) {
+        betweenEvents = true;
+        clientConnection = "client";
+        if (adopted) {
+            adoptStream();
+        } else {
+            submit("one", new RoutingAction.StartAttempt(1, WRITER, 0));
+            sentAttempts.get(0).observer.onEvent(new byte[1]);
+        }
+        SuspendedStream suspended = suspendOne();
+        broker.abortStreams(1);
+        loop.runUntil(loop.now + 10_000);
+        assertThat(clientCalls).as("nothing ends it meanwhile").doesNotContain("broken");
+        suspended.resume();
+        assertThat(sentAttempts.get(0).paused).isFalse();
+        sentAttempts.get(0).observer.onEvent(new byte[1]);
+        sentAttempts.get(0).observer.onEnded(AttemptOutcome.COMPLETED, 0);
+        assertThat(clientCalls).endsWith("event", "end");
+        assertThat(connectionCalls).containsExactly("suspend", "resume");
+        assertThat(metricValues()).containsEntry(adopted ? "answered.b" : "answered.a", 1L);
+    }
+
+    /** Guards against a stream that stalls unseen, as its time ran while it was suspended or never runs again. */
+    @Test
+    void aStreamThatStallsAfterItsSuspensionIsBrokenOff() {
+        betweenEvents = true;
+        clientConnection = "client";
+        adoptStream();
+        SuspendedStream suspended = suspendOne();
+        loop.runUntil(loop.now + 10_000);
+        suspended.resume();
+        loop.runUntil(loop.now + 2_900);
+        assertThat(clientCalls).doesNotContain("broken");
+        loop.runUntil(loop.now + 3_200);
+        assertThat(clientCalls).contains("broken");
+    }
+
     static Stream<Arguments> streamEndings() {
         Consumer<BrokerTest> completed = t -> t.sentAttempts.get(0).observer.onEnded(AttemptOutcome.COMPLETED, 0);
         Consumer<BrokerTest> reset = t -> t.sentAttempts.get(0).observer.onEnded(AttemptOutcome.RESET, 0);
         Consumer<BrokerTest> disconnected = t -> t.adoptedHandle.onClientDisconnected();
         Consumer<BrokerTest> stalled = t -> t.loop.runUntil(t.loop.now + 3_000);
         Consumer<BrokerTest> aborted = t -> t.broker.abortStreams(1);
-        Consumer<BrokerTest> detached =
-                t -> assertThat(t.broker.detachStreams(1)).hasSize(1);
+        Consumer<BrokerTest> released = t -> t.suspendOne().release();
         return Stream.of(
                 Arguments.of("completed", completed, "end", 1, 0),
                 Arguments.of("engine failure", reset, "broken", 0, 1),
                 Arguments.of("client disconnect", disconnected, null, 0, 0),
                 Arguments.of("engine stall", stalled, "broken", 0, 1),
                 Arguments.of("aborted at shutdown", aborted, "broken", 0, 1),
-                Arguments.of("detached again", detached, null, 0, 0));
+                Arguments.of("released again", released, null, 0, 0));
     }
 
     /** A stream that another process started ends once, whatever events follow. */
@@ -309,10 +371,7 @@
     void anAdoptedStreamEndsOnce(String name, Consumer<BrokerTest> end, String lastCall, long answered, long errored) {
         betweenEvents = true;
         clientConnection = "client";
-        adoptedHandle = broker.adoptStream("b", "x", recordingObserver(), 3_000, observer -> {
-            sentAttempts.add(new SentAttempt(observer));
-            return sentAttempts.get(0);
-        });
+        adoptStream();
         loop.runUntil(loop.now + 2_900);
         sentAttempts.get(0).observer.onEvent(new byte[1]);
         assertThat(broker.unfinishedRequests()).isEqualTo(1);
@@ -330,6 +389,13 @@
         assertThat(reportedEvents).as("events reported to the policy").isEmpty();
     }
 
+    private void adoptStream() {
+        adoptedHandle = broker.adoptStream("b", "x", recordingObserver(), 3_000, observer -> {
+            sentAttempts.add(new SentAttempt(observer));
+            return sentAttempts.get(0);
+        });
+    }
+
     private java.util.Map<String, Long> metricValues() {
         java.util.Map<String, Long> all = new java.util.TreeMap<>();
         metrics.figures().forEach(figure -> all.put(figure.name(), figure.value()));
@@ -350,10 +416,21 @@
     private ResponseObserver recordingObserver() {
         return new ResponseObserver() {
             @Override
-            public Optional<Object> detachConnection() {
+            public Optional<Object> suspend() {
+                if (clientConnection != null) connectionCalls.add("suspend");
                 return Optional.ofNullable(clientConnection);
             }
 
+            @Override
+            public void resume() {
+                connectionCalls.add("resume");
+            }
+
+            @Override
+            public void release() {
+                connectionCalls.add("release");
+            }
+
             @Override
             public boolean onEvent(byte[] event) {
                 clientCalls.add("event");
