--- a/src/main/java/maplerail/core/AdmissionStage.java
+++ b/src/main/java/maplerail/core/AdmissionStage.java
@@ -7,6 +7,8 @@
 import java.util.function.BooleanSupplier;
 import maplerail.algorithms.TokenBucket;
 import maplerail.core.ResponseObserver.Reason;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 
 /**
  * Second stage: enforces contracts and budgets, and rejects new requests while the event loop lags, before they are
@@ -17,6 +19,7 @@
     private static final double MAX_LAG_MS = 150; // event loop lag from which new requests are rejected
     private static final double RETRY_AFTER_LAG_MS = 500;
     private static final double RETRY_AFTER_BUSY_MS = 100; // when too many requests are open
+    private static final double RETRY_AFTER_MEMORY_MS = 500;
     private static final double RETRY_SPREAD =
             0.5; // random variation of the retry delay, as a share of it in either direction
 
@@ -24,6 +27,8 @@
     private final SplittableRandom random;
     private final LoopLagMonitor lag;
     private final Map<Integer, TeamUsage> usageByTeam = new HashMap<>();
+    private final MemoryBudget memory;
+    private final Metrics metrics;
     private AdmissionLimits limits;
     private BooleanSupplier isDraining = () -> false;
     private int openRequests;
@@ -43,10 +48,14 @@
     /**
      * Creates a stage without open requests.
      *
+     * @param memory the memory for the payloads of open requests
      * @param random varies the advised retry delays
      */
-    public AdmissionStage(AdmissionLimits limits, EventLoop loop, SplittableRandom random) {
+    public AdmissionStage(
+            AdmissionLimits limits, MemoryBudget memory, EventLoop loop, SplittableRandom random, Metrics metrics) {
         this.limits = limits;
+        this.memory = memory;
+        this.metrics = metrics;
         this.loop = loop;
         this.random = random;
         this.lag = new LoopLagMonitor(loop, () -> openRequests > 0);
@@ -62,10 +71,16 @@
         limits = newLimits;
     }
 
-    /** Admits a request, which counts as open until {@link #release}, or returns why it is rejected. */
-    Optional<Rejection> admit(InferenceRequest request) {
+    /**
+     * Admits a request, which counts as open until {@link #release} and has memory for its payload, or returns why it is
+     * rejected.
+     */
+    Optional<Rejection> admit(RequestRecord record) {
+        InferenceRequest request = record.request;
+        record.memory = memory.reserveNothing();
         Optional<Rejection> rejection = check(request);
         if (rejection.isPresent()) return rejection;
+        if (!record.memory.tryGrow(request.payloadBytes())) return Optional.of(rejectForMemory());
         openRequests++;
         if (hasBudget(request)) usage(request.tenant()).inFlight++;
         lag.start();
@@ -87,6 +102,12 @@
         return hasBudget(request) ? charge(request.tenant()) : Optional.empty();
     }
 
+    /** The rejection of a request for whose payload there is no memory. */
+    Rejection rejectForMemory() {
+        metrics.count(EventCount.REQUESTS_REFUSED_MEMORY);
+        return randomized(Reason.OVERLOAD, RETRY_AFTER_MEMORY_MS);
+    }
+
     private boolean exceedsContract(InferenceRequest request) {
         int index = request.requestClass();
         return index < limits.contracts().size()
@@ -113,7 +134,11 @@
 
     /** Randomizes the retry delay, so that clients that are rejected at the same time don't retry at the same time. */
     private Optional<Rejection> reject(Reason reason, double retryAfterMs) {
+        return Optional.of(randomized(reason, retryAfterMs));
+    }
+
+    private Rejection randomized(Reason reason, double retryAfterMs) {
         double factor = 1 - RETRY_SPREAD + 2 * RETRY_SPREAD * random.nextDouble();
-        return Optional.of(new Rejection(reason, retryAfterMs * factor));
+        return new Rejection(reason, retryAfterMs * factor);
     }
 }
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -87,6 +87,10 @@
     private void send(Attempt attempt, double deadlineMs) {
         if (attempt.ended) return;
         RequestRecord record = attempt.record;
+        if (record.winner != null) {
+            end(attempt, AttemptOutcome.NOT_SENT, 0);
+            return;
+        }
         // After an attempt without any response, the other open connections may be dead as well.
         ConnectionChoice connection = record.hasAbortedWithoutResponse() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
         if (attempt.readsPrompt) reservations.onReadStarted(attempt);
@@ -97,6 +101,7 @@
     private boolean isAllowed(Attempt attempt, double deadlineMs) {
         RequestRecord record = attempt.record;
         return !record.finished
+                && record.winner == null
                 && deadlineMs > loop.nowMs()
                 && attempt.number < record.terms.maxAttempts()
                 && directory.isReady(attempt.engine);
@@ -164,6 +169,7 @@
         startStallTimer(attempt, record.request.payload().stallTimeoutMs());
         record.deadlineTimer.cancel();
         reservations.onStreamStarted(record);
+        record.releasePayload();
         double elapsedMs = loop.nowMs() - attempt.sentMs;
         routing.report(new RoutingEvent.FirstToken(record.number, attempt.number, attempt.engine, elapsedMs));
     }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -96,7 +96,7 @@
             return RequestHandle.CLOSED;
         }
         RequestRecord record = opened.get();
-        Optional<AdmissionStage.Rejection> rejection = admission.admit(request);
+        Optional<AdmissionStage.Rejection> rejection = admission.admit(record);
         if (rejection.isPresent()) {
             reject(record, rejection.get());
             return RequestHandle.CLOSED;
@@ -107,6 +107,13 @@
         return new OpenRequest(record);
     }
 
+    /** Rejects a request whose payload could not be received for lack of memory. */
+    public void rejectForMemory(InferenceRequest request, ResponseObserver observer) {
+        AdmissionStage.Rejection rejection = admission.rejectForMemory();
+        terms.of(request).tally().count(Verdict.DEFERRED);
+        observer.onRejected(rejection.reason(), rejection.retryAfterMs());
+    }
+
     private void reject(RequestRecord record, AdmissionStage.Rejection rejection) {
         registry.finish(record, rejection.reason() == Reason.INVALID ? Verdict.ERRORED : Verdict.DEFERRED);
         registry.cleanUp(record);
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -19,6 +19,9 @@
     EventLoop.Timer reservationTimer = () -> {};
 
     boolean admitted;
+    /** The memory of its payload. */
+    MemoryBudget.Reservation memory;
+
     boolean finished;
     /** True while its stream is a {@link SuspendedStream}. */
     boolean suspended;
@@ -57,6 +60,11 @@
         return attempts.stream().anyMatch(attempt -> attempt.engine == engine && attempt.wasAbortedWithoutResponse());
     }
 
+    /** Frees the payload's memory if it can be dropped: a response has begun, so no further attempt is sent. */
+    void releasePayload() {
+        if (request.payload().release()) memory.release();
+    }
+
     /** True while the response streams to the client. */
     boolean isStreaming() {
         return winner != null && !finished;
--- a/src/main/java/maplerail/core/RequestRegistry.java
+++ b/src/main/java/maplerail/core/RequestRegistry.java
@@ -75,6 +75,7 @@
         reservations.review(record);
         if (record.hasAttemptInFlight()) return;
         if (record.finished && records.remove(record.number) != null) {
+            record.memory.release();
             closeActions.remove(record.number).run();
         }
     }
--- a/src/main/java/maplerail/core/RoutingStage.java
+++ b/src/main/java/maplerail/core/RoutingStage.java
@@ -56,11 +56,11 @@
         }
     }
 
-    /** An exception in the policy loses this event only: the deadline timer then fails the request concerned. */
+    /** An exception or error in the policy loses this event only: the deadline timer then fails the request concerned. */
     private List<RoutingAction> decide(RoutingEvent event) {
         try {
             return policy.step(loop.nowMs(), List.of(event));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             log.accept("routing policy failed event=" + event.getClass().getSimpleName() + " error=" + e);
             return List.of();
         }
--- a/src/main/java/maplerail/front/AdoptedConnection.java
+++ b/src/main/java/maplerail/front/AdoptedConnection.java
@@ -1,5 +1,6 @@
 package maplerail.front;
 
+import maplerail.core.MemoryBudget;
 import org.xnio.StreamConnection;
 
 /**
@@ -23,6 +24,11 @@
         connection.getSourceChannel().resumeReads();
     }
 
+    /** A reservation, without any memory yet, for what its client does not take at once. */
+    public MemoryBudget.Reservation reserveMemory() {
+        return connections.reserveMemory();
+    }
+
     /** Reads the available input; true if the client has closed its side or the connection failed. */
     public boolean isDisconnected() {
         return readAhead.pollEnd();
--- a/src/main/java/maplerail/front/ClientConnection.java
+++ b/src/main/java/maplerail/front/ClientConnection.java
@@ -1,5 +1,7 @@
 package maplerail.front;
 
+import maplerail.core.MemoryBudget;
+
 /** The state of one client connection. */
 final class ClientConnection {
     /** The phases of a connection. */
@@ -21,12 +23,22 @@
     State state;
     double stateSinceMs;
     ReadAheadConduit readAhead;
+    /** The memory of a body that is being received. */
+    final MemoryBudget.Reservation bodyMemory;
+
     private long receivedBeforeDrain; // bytes
 
     /** Creates a connection that entered a state at a time. */
-    ClientConnection(State state, double stateSinceMs) {
+    ClientConnection(State state, double stateSinceMs, MemoryBudget memory) {
         this.state = state;
         this.stateSinceMs = stateSinceMs;
+        this.bodyMemory = memory.reserveNothing();
+    }
+
+    /** Frees its memory: the connection has ended, or is no longer managed. */
+    void releaseMemory() {
+        bodyMemory.release();
+        readAhead.releaseMemory();
     }
 
     /**
--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
+import maplerail.core.MemoryBudget;
 import maplerail.front.ClientConnection.State;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
@@ -62,6 +63,7 @@
     private final EventLoop loop;
     private final int maxConnections;
     private final DrainSchedule drain;
+    private final MemoryBudget memory;
     private final Metrics metrics;
     private final Map<StreamConnection, ClientConnection> clients = new LinkedHashMap<>();
     private final DrainBoundary drainBoundary;
@@ -72,13 +74,16 @@
      *
      * @param next receives each connection after it was registered
      * @param maxConnections the listener's connection limit
+     * @param memory the memory for what clients send
      */
     public ConnectionManager(
             ChannelListener<StreamConnection> next,
             EventLoop loop,
             int maxConnections,
             DrainSchedule drain,
+            MemoryBudget memory,
             Metrics metrics) {
+        this.memory = memory;
         this.next = next;
         this.loop = loop;
         this.maxConnections = maxConnections;
@@ -106,9 +111,10 @@
     }
 
     private ClientConnection register(StreamConnection connection, State state) {
-        ClientConnection client = new ClientConnection(state, loop.nowMs());
+        ClientConnection client = new ClientConnection(state, loop.nowMs(), memory);
         clients.put(connection, client);
-        client.readAhead = new ReadAheadConduit(connection.getSourceChannel().getConduit(), () -> onInput(client));
+        client.readAhead = new ReadAheadConduit(
+                connection.getSourceChannel().getConduit(), () -> onInput(client), memory.reserveNothing());
         connection.getSourceChannel().setConduit(client.readAhead);
         if (!sweeping) loop.schedule(loop.nowMs() + SWEEP_INTERVAL_MS, this::sweep);
         sweeping = true;
@@ -173,6 +179,16 @@
         });
     }
 
+    /** The memory of the body that is received on the connection of an exchange; freed when the connection ends. */
+    public MemoryBudget.Reservation bodyMemory(HttpServerExchange exchange) {
+        return client(exchange).map(client -> client.bodyMemory).orElseGet(memory::reserveNothing);
+    }
+
+    /** A reservation, without any memory yet, in the budget of this listener's clients. */
+    public MemoryBudget.Reservation reserveMemory() {
+        return memory.reserveNothing();
+    }
+
     /** Reports that a request is complete: its connection stays open until the response ends. */
     public void onRequestComplete(HttpServerExchange exchange) {
         setState(exchange, State.AWAITING_RESPONSE);
@@ -214,7 +230,10 @@
 
     private void sweep() {
         double now = loop.nowMs();
-        clients.keySet().removeIf(connection -> !connection.isOpen());
+        clients.keySet().stream()
+                .filter(connection -> !connection.isOpen())
+                .toList()
+                .forEach(this::remove);
         List<StreamConnection> expired = new ArrayList<>();
         clients.forEach((connection, client) -> {
             double age = now - client.stateSinceMs;
@@ -261,10 +280,15 @@
                 client.state == State.CLOSING
                         ? EventCount.CONNECTIONS_CLOSED_AFTER_ANSWER
                         : EventCount.CONNECTIONS_CLOSED_IDLE);
-        clients.remove(connection);
+        remove(connection);
         IoUtils.safeClose(connection);
     }
 
+    private void remove(StreamConnection connection) {
+        ClientConnection removed = clients.remove(connection);
+        if (removed != null) removed.releaseMemory();
+    }
+
     /** Shuts down the sending side and discards further input, as a reset over unread input would lose the response. */
     private void shutdownOutput(StreamConnection connection, ClientConnection client) throws IOException {
         connection.getSinkChannel().shutdownWrites();
@@ -316,7 +340,7 @@
 
     /** Removes a connection that another process continues, so that {@link #close} leaves it open. */
     public void unregister(StreamConnection connection) {
-        clients.remove(connection);
+        remove(connection);
     }
 
     /** Registers a connection that this process continues in the middle of a response begun by another process. */
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import maplerail.core.MemoryBudget;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitReadableByteChannel;
@@ -20,16 +21,23 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final Runnable onRead;
+    private final MemoryBudget.Reservation memory;
     private ByteBuffer buffered = EMPTY; // from its position to its limit: received and not read yet
     private long receivedBytes; // without discarded bytes
     private boolean ended;
     private boolean discarding;
     private boolean suspended;
+    private boolean outOfMemory; // the last read found no memory
 
-    /** Creates a conduit that calls {@code onRead} each time bytes are read from it. */
-    ReadAheadConduit(StreamSourceConduit source, Runnable onRead) {
+    /**
+     * Creates a conduit that calls {@code onRead} each time bytes are read from it.
+     *
+     * @param memory the memory of its buffer, which holds nothing yet
+     */
+    ReadAheadConduit(StreamSourceConduit source, Runnable onRead, MemoryBudget.Reservation memory) {
         super(source);
         this.onRead = onRead;
+        this.memory = memory;
     }
 
     /** Reads the available input into the buffer; true if the client has closed its side or the connection failed. */
@@ -38,7 +46,7 @@
         if (discarding) return pollEndWhileDiscarding();
         int bufferedBefore = buffered.remaining();
         try {
-            while (!ended && buffered.remaining() < MAX_BUFFERED_BYTES) {
+            while (!ended && buffered.remaining() < MAX_BUFFERED_BYTES && hasRoom()) {
                 ByteBuffer chunk = ByteBuffer.allocate(READ_BYTES);
                 int count = receive(chunk);
                 if (count < 0) ended = true;
@@ -65,6 +73,24 @@
         resumeReads();
     }
 
+    /** Makes room for a read; without memory the input stays in the socket, as with a full buffer. */
+    private boolean hasRoom() {
+        if (buffered.capacity() - buffered.limit() >= READ_BYTES) return true;
+        int capacity = Math.max(2 * buffered.remaining(), buffered.remaining() + READ_BYTES);
+        outOfMemory = capacity > buffered.capacity() && !memory.tryGrow(capacity - buffered.capacity());
+        if (outOfMemory) return false;
+        buffered = ByteBuffer.allocate(Math.max(capacity, buffered.capacity()))
+                .put(buffered)
+                .flip();
+        return true;
+    }
+
+    /** Frees the buffer of a connection that is not read any more. */
+    void releaseMemory() {
+        buffered = EMPTY;
+        memory.release();
+    }
+
     private int receive(ByteBuffer into) throws IOException {
         int count = next.read(into);
         if (count > 0) receivedBytes += count;
@@ -77,7 +103,7 @@
      */
     void discard() {
         discarding = true;
-        buffered = EMPTY;
+        releaseMemory();
     }
 
     private boolean pollEndWhileDiscarding() {
@@ -100,11 +126,6 @@
     }
 
     private void buffer(ByteBuffer chunk) {
-        if (buffered.capacity() - buffered.limit() < chunk.remaining()) {
-            ByteBuffer larger =
-                    ByteBuffer.allocate(Math.max(2 * buffered.remaining(), buffered.remaining() + chunk.remaining()));
-            buffered = larger.put(buffered).flip();
-        }
         int start = buffered.position();
         buffered.position(buffered.limit()).limit(buffered.limit() + chunk.remaining());
         buffered.put(chunk).position(start);
@@ -120,9 +141,9 @@
         return receivedBytes - buffered.remaining();
     }
 
-    /** True while the buffer is full. */
+    /** True while the buffer can take no more input. */
     boolean isFull() {
-        return buffered.remaining() >= MAX_BUFFERED_BYTES;
+        return buffered.remaining() >= MAX_BUFFERED_BYTES || outOfMemory;
     }
 
     /** True while the buffer contains unread bytes. */
@@ -159,7 +180,7 @@
         int count = Math.min(into.remaining(), buffered.remaining());
         into.put(buffered.slice(buffered.position(), count));
         buffered.position(buffered.position() + count);
-        if (!buffered.hasRemaining()) buffered = EMPTY;
+        if (!buffered.hasRemaining()) releaseMemory();
         return count;
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -1,7 +1,6 @@
 package maplerail.front.jsonrpc;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -18,8 +17,11 @@
 import java.util.UUID;
 import maplerail.config.ToolsConfig;
 import maplerail.core.EventLoop;
+import maplerail.front.BodyReader;
 import maplerail.front.ConnectionManager;
 import maplerail.front.DisconnectDetector;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import maplerail.rpc.ReplayBuffer;
 import maplerail.rpc.SessionState;
 import org.xnio.IoUtils;
@@ -42,6 +44,7 @@
     private final Session.Dispatcher dispatcher;
     private final EventLoop loop;
     private final int maxBodyBytes;
+    private final Metrics metrics;
     private final ReplayBuffer.Budget budget = new ReplayBuffer.Budget(MAX_REPLAY_CHARS);
     private final Map<String, HttpSession> sessions = new LinkedHashMap<>();
     private final List<HttpSession> singleUse = new ArrayList<>();
@@ -96,7 +99,8 @@
         }
     }
 
-    HttpSessions(ToolsConfig config, Session.Dispatcher dispatcher, EventLoop loop, int maxBodyBytes) {
+    HttpSessions(ToolsConfig config, Session.Dispatcher dispatcher, EventLoop loop, int maxBodyBytes, Metrics metrics) {
+        this.metrics = metrics;
         this.config = config;
         this.dispatcher = dispatcher;
         this.loop = loop;
@@ -106,20 +110,11 @@
     void handle(HttpServerExchange exchange, int team, ConnectionManager connections) {
         if (exchange.getRequestMethod().equals(Methods.POST)) {
             exchange.setMaxEntitySize(maxBodyBytes);
-            exchange.getRequestReceiver()
-                    .receiveFullBytes(
-                            (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> {
-                                connections.onRequestComplete(received);
-                                // The client may have disconnected while its messages waited for the loop.
-                                if (DisconnectDetector.isDisconnected(received))
-                                    IoUtils.safeClose(received.getConnection());
-                                else post(received, team, body);
-                            }),
-                            (failed, error) -> {
-                                if (error instanceof RequestTooBigException)
-                                    reject(failed, 413, "the message is too large");
-                                else IoUtils.safeClose(failed.getConnection());
-                            });
+            BodyReader.read(
+                    exchange,
+                    maxBodyBytes,
+                    connections.bodyMemory(exchange),
+                    new MessageListener(exchange, team, connections));
         } else if (exchange.getRequestMethod().equals(Methods.GET)) {
             HttpSession httpSession = findSession(exchange, team);
             if (httpSession != null) {
@@ -140,6 +135,45 @@
         }
     }
 
+    /** Handles the messages of a POST once they have been received. */
+    private final class MessageListener implements BodyReader.Listener {
+        private final HttpServerExchange exchange;
+        private final int team;
+        private final ConnectionManager connections;
+
+        MessageListener(HttpServerExchange exchange, int team, ConnectionManager connections) {
+            this.exchange = exchange;
+            this.team = team;
+            this.connections = connections;
+        }
+
+        @Override
+        public void onBody(byte[] body) {
+            connections.onRequestComplete(exchange);
+            // The client may have disconnected while its messages waited for the loop.
+            if (DisconnectDetector.isDisconnected(exchange)) IoUtils.safeClose(exchange.getConnection());
+            else post(exchange, team, body);
+        }
+
+        @Override
+        public void onNoMemory() {
+            connections.onRequestComplete(exchange);
+            metrics.count(EventCount.REQUESTS_REFUSED_MEMORY);
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
+            reject(exchange, 503, "no memory for the message");
+        }
+
+        @Override
+        public void onTooLarge() {
+            reject(exchange, 413, "the message is too large");
+        }
+
+        @Override
+        public void onFailed() {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
     private void post(HttpServerExchange exchange, int team, byte[] body) {
         String text;
         try {
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -23,9 +23,11 @@
 import maplerail.core.EventLoop;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.core.MemoryBudget;
 import maplerail.core.RequestHandle;
 import maplerail.front.ConnectionManager;
 import maplerail.front.DisconnectDetector;
+import maplerail.metrics.Metrics;
 import org.xnio.IoUtils;
 
 /**
@@ -53,13 +55,14 @@
             Broker platformBroker,
             Names names,
             Lifecycle lifecycle,
-            EventLoop loop) {
+            EventLoop loop,
+            Metrics metrics) {
         this.config = config;
         this.toolMethods = new ToolMethods(config, toolBrokers, loop);
         this.answerMethods = new AnswerMethods(platformBroker, names);
         this.lifecycle = lifecycle;
         this.loop = loop;
-        this.httpSessions = new HttpSessions(config, this, loop, MAX_MESSAGE_BYTES);
+        this.httpSessions = new HttpSessions(config, this, loop, MAX_MESSAGE_BYTES, metrics);
     }
 
     /** Replaces the names of the platform's classes and tenants. */
@@ -96,12 +99,14 @@
 
     private void openWebSocket(WebSocketChannel channel, int team, BooleanSupplier isDisconnected) {
         Session session = new Session(team, this, config.handshake());
-        WebSocketReceiver receiver = new WebSocketReceiver(channel, session, isDisconnected);
+        WebSocketReceiver receiver =
+                new WebSocketReceiver(channel, session, isDisconnected, connections.reserveMemory());
         sessions.add(session);
         receivers.put(channel, receiver);
         channel.addCloseTask(closed -> {
             sessions.remove(session);
             receivers.remove(closed);
+            receiver.memory.release();
             session.close();
         });
         channel.getReceiveSetter().set(receiver);
@@ -117,11 +122,19 @@
         private final Session session;
         private final BooleanSupplier isDisconnected;
         private final MessageSender sender;
+        /** The memory of a message that is being received. */
+        private final MemoryBudget.Reservation memory;
+
         private boolean receiving;
         private boolean closing;
         private int receivedMessages;
 
-        WebSocketReceiver(WebSocketChannel channel, Session session, BooleanSupplier isDisconnected) {
+        WebSocketReceiver(
+                WebSocketChannel channel,
+                Session session,
+                BooleanSupplier isDisconnected,
+                MemoryBudget.Reservation memory) {
+            this.memory = memory;
             this.channel = channel;
             this.session = session;
             this.isDisconnected = isDisconnected;
@@ -159,9 +172,13 @@
             }
         }
 
+        /** Called when a message begins: reserves all that it may hold. A longer one ends the connection (1009). */
         @Override
         protected long getMaxTextBufferSize() {
-            return MAX_MESSAGE_BYTES;
+            memory.release();
+            long maxBytes = Math.max(1, Math.min(MAX_MESSAGE_BYTES, memory.maxBytes()));
+            memory.grow(maxBytes);
+            return maxBytes;
         }
 
         @Override
@@ -172,6 +189,7 @@
         @Override
         protected void onFullTextMessage(WebSocketChannel from, BufferedTextMessage message) {
             receivedMessages++;
+            memory.release();
             session.receive(message.getData(), sender);
         }
 
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -2,15 +2,14 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
-import io.undertow.server.ServerConnection;
 import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
+import java.util.Optional;
 import maplerail.config.Names;
 import maplerail.core.Broker;
 import maplerail.core.InferenceRequest;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.front.BodyReader;
 import maplerail.front.ConnectionManager;
 import maplerail.front.DisconnectDetector;
 import org.xnio.IoUtils;
@@ -44,9 +43,8 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        ServerConnection connection = exchange.getConnection();
         connections.onRequestHead(exchange);
-        PlatformResponse response = new PlatformResponse(exchange);
+        PlatformResponse response = new PlatformResponse(exchange, connections.reserveMemory());
         if (exchange.getRequestURI().equals("/-/ready")) {
             response.respond(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
@@ -59,36 +57,55 @@
         } else {
             // A chunked body is read beyond its limit: if it were cut off there, the client would not get the response.
             exchange.setMaxEntitySize(4 * MAX_BODY_BYTES);
-            exchange.getRequestReceiver()
-                    .receiveFullBytes(
-                            (received, body) -> received.dispatch(
-                                    SameThreadExecutor.INSTANCE, () -> submit(received, response, body)),
-                            (failed, error) -> {
-                                if (error instanceof RequestTooBigException)
-                                    response.respond(413, "the body is too large");
-                                else IoUtils.safeClose(connection);
-                            });
+            BodyReader.read(
+                    exchange, MAX_BODY_BYTES, connections.bodyMemory(exchange), new BodyListener(exchange, response));
         }
     }
 
-    private void submit(HttpServerExchange exchange, PlatformResponse response, byte[] body) {
-        connections.onRequestComplete(exchange);
-        if (DisconnectDetector.isDisconnected(exchange)) {
-            // The client disconnected while its request waited for the loop: no engine has to work for it.
-            IoUtils.safeClose(exchange.getConnection());
-            return;
+    /** Handles a request once its body has been received. */
+    private final class BodyListener implements BodyReader.Listener {
+        private final HttpServerExchange exchange;
+        private final PlatformResponse response;
+
+        BodyListener(HttpServerExchange exchange, PlatformResponse response) {
+            this.exchange = exchange;
+            this.response = response;
+        }
+
+        @Override
+        public void onBody(byte[] body) {
+            parse(body).ifPresent(request -> response.attach(broker.submit(request, response)));
+        }
+
+        @Override
+        public void onNoMemory() {
+            parse(new byte[0]).ifPresent(request -> broker.rejectForMemory(request, response));
         }
-        if (body.length > MAX_BODY_BYTES) {
+
+        @Override
+        public void onTooLarge() {
             response.respond(413, "the body is too large");
-            return;
         }
-        InferenceRequest request;
-        try {
-            request = parser.parse(exchange, body);
-        } catch (RequestParser.BadRequestException e) {
-            response.respond(400, e.getMessage());
-            return;
+
+        @Override
+        public void onFailed() {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+
+        /** Parses the request; empty if it has its response, or needs none. */
+        private Optional<InferenceRequest> parse(byte[] body) {
+            connections.onRequestComplete(exchange);
+            if (DisconnectDetector.isDisconnected(exchange)) {
+                // The client disconnected while its request waited for the loop: no engine has to work for it.
+                IoUtils.safeClose(exchange.getConnection());
+                return Optional.empty();
+            }
+            try {
+                return Optional.of(parser.parse(exchange, body));
+            } catch (RequestParser.BadRequestException e) {
+                response.respond(400, e.getMessage());
+                return Optional.empty();
+            }
         }
-        response.attach(broker.submit(request, response));
     }
 }
--- a/src/main/java/maplerail/front/platform/PlatformResponse.java
+++ b/src/main/java/maplerail/front/platform/PlatformResponse.java
@@ -5,12 +5,13 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Optional;
+import maplerail.core.MemoryBudget;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
 import maplerail.front.DisconnectDetector;
+import maplerail.front.OutputQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -19,19 +20,19 @@
 /** The response to a client's request: a stream that is relayed as it arrives, or a single error response. */
 final class PlatformResponse implements ResponseObserver {
     private static final Logger LOG = LoggerFactory.getLogger(PlatformResponse.class);
-    private static final int PAUSE_BYTES = 64 * 1024; // unsent bytes from which the stream is paused
 
     private final HttpServerExchange exchange;
-    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
-    private int unsentBytes;
+    private final OutputQueue unsent;
     private RequestHandle requestHandle;
     private StreamSinkChannel sink;
     private boolean paused;
     private boolean completed;
     private boolean finished;
 
-    PlatformResponse(HttpServerExchange exchange) {
+    /** Creates the response to a request; {@code memory} is for what its client does not take at once. */
+    PlatformResponse(HttpServerExchange exchange, MemoryBudget.Reservation memory) {
         this.exchange = exchange;
+        this.unsent = new OutputQueue(memory);
     }
 
     void attach(RequestHandle handle) {
@@ -52,6 +53,7 @@
         if (finished) return;
         LOG.debug("{}: client disconnected", exchange.getRequestHeaders().getFirst("Req-Id"));
         finished = true;
+        unsent.clear();
         IoUtils.safeClose(exchange.getConnection());
         if (requestHandle != null) requestHandle.onClientDisconnected();
     }
@@ -68,25 +70,19 @@
             sink = exchange.getResponseChannel();
             sink.getWriteSetter().set(c -> write());
         }
+        boolean writable = unsent.isEmpty();
         unsent.add(ByteBuffer.wrap(event));
-        unsentBytes += event.length;
-        if (unsent.size() == 1) write();
-        paused = unsentBytes > PAUSE_BYTES;
+        if (writable) write();
+        paused = unsent.isFull();
         return !paused;
     }
 
     private void write() {
         if (finished) return;
         try {
-            while (!unsent.isEmpty()) {
-                ByteBuffer first = unsent.peek();
-                int count = sink.write(first);
-                unsentBytes -= count;
-                if (!first.hasRemaining()) unsent.poll();
-                else if (count == 0) {
-                    sink.resumeWrites();
-                    return;
-                }
+            if (!unsent.writeTo(sink)) {
+                sink.resumeWrites();
+                return;
             }
             if (completed) {
                 sink.shutdownWrites();
@@ -102,7 +98,7 @@
             onDisconnected();
             return;
         }
-        if (paused && !finished && unsentBytes <= PAUSE_BYTES / 2) {
+        if (paused && !finished) {
             paused = false;
             requestHandle.onClientWritable();
         }
@@ -130,13 +126,12 @@
         finished = true;
         // Unsent data is written as far as possible without waiting; then the connection closes without a last chunk.
         try {
-            while (!unsent.isEmpty() && sink.write(unsent.peek()) > 0) {
-                if (!unsent.peek().hasRemaining()) unsent.poll();
-            }
+            unsent.writeTo(sink);
             sink.flush();
         } catch (IOException e) {
-            IoUtils.safeClose(exchange.getConnection());
+            LOG.debug("the rest of a broken stream is not written", e);
         }
+        unsent.clear();
         IoUtils.safeClose(exchange.getConnection());
     }
 
--- a/src/main/java/maplerail/front/platform/ResumedResponse.java
+++ b/src/main/java/maplerail/front/platform/ResumedResponse.java
@@ -3,11 +3,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Optional;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
 import maplerail.front.AdoptedConnection;
+import maplerail.front.OutputQueue;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
@@ -17,14 +17,12 @@
  * close.
  */
 public final class ResumedResponse implements ResponseObserver {
-    private static final int PAUSE_BYTES = 64 * 1024; // unsent bytes from which the stream is paused
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     private final StreamConnection connection;
     private final boolean closes;
     private final AdoptedConnection client;
-    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
-    private int unsentBytes;
+    private final OutputQueue unsent;
     private RequestHandle requestHandle;
     private boolean paused;
     private boolean completed;
@@ -37,6 +35,7 @@
         this.connection = connection;
         this.closes = closes;
         this.client = client;
+        this.unsent = new OutputQueue(client.reserveMemory());
     }
 
     /** Attaches the request's handle and starts to watch for a disconnect. */
@@ -56,6 +55,7 @@
     private void onDisconnected() {
         if (finished) return;
         finished = true;
+        unsent.clear();
         IoUtils.safeClose(connection);
         requestHandle.onClientDisconnected();
     }
@@ -70,27 +70,22 @@
                 .put((byte) '\r')
                 .put((byte) '\n')
                 .flip());
-        paused = unsentBytes > PAUSE_BYTES;
+        paused = unsent.isFull();
         return !paused;
     }
 
     private void send(ByteBuffer bytes) {
+        boolean writable = unsent.isEmpty();
         unsent.add(bytes);
-        unsentBytes += bytes.remaining();
-        if (unsent.size() == 1) write();
+        if (writable) write();
     }
 
     private void write() {
         if (finished) return;
         try {
-            while (!unsent.isEmpty()) {
-                int count = connection.getSinkChannel().write(unsent.peek());
-                unsentBytes -= count;
-                if (!unsent.peek().hasRemaining()) unsent.poll();
-                else if (count == 0) {
-                    connection.getSinkChannel().resumeWrites();
-                    return;
-                }
+            if (!unsent.writeTo(connection.getSinkChannel())) {
+                connection.getSinkChannel().resumeWrites();
+                return;
             }
             connection.getSinkChannel().suspendWrites();
         } catch (IOException e) {
@@ -101,7 +96,7 @@
             finished = true;
             connection.getSourceChannel().suspendReads();
             client.finish(closes);
-        } else if (paused && unsentBytes <= PAUSE_BYTES / 2) {
+        } else if (paused) {
             paused = false;
             requestHandle.onClientWritable();
         }
@@ -118,6 +113,7 @@
     public void onBroken() {
         if (finished) return;
         finished = true;
+        unsent.clear();
         IoUtils.safeClose(connection);
     }
 
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -40,8 +40,11 @@
     STREAMS_REFUSED,
     STREAMS_HANDED_ON,
     STREAMS_KEPT,
-    /** Requests refused because the process sends its clients away. */
+    /** Requests refused because the process sends its clients away, and for lack of memory. */
     REQUESTS_REFUSED_DRAINING,
+    REQUESTS_REFUSED_MEMORY,
+    /** Tasks of the event loop that failed with an exception or an error. */
+    LOOP_TASKS_FAILED,
     /** Clients' connections that the program ended, by its reason. */
     CONNECTIONS_CLOSED_REQUEST_TIMEOUT,
     CONNECTIONS_CLOSED_IDLE,
--- a/src/main/java/maplerail/metrics/Metrics.java
+++ b/src/main/java/maplerail/metrics/Metrics.java
@@ -27,6 +27,7 @@
     private final Histogram loopTurns = new Histogram("loop_turn_ms");
     private final Histogram dials = new Histogram("dial_ms");
     private final AtomicLongArray events = new AtomicLongArray(EventCount.values().length);
+    private final Map<String, MemoryUse> memory = new ConcurrentSkipListMap<>();
     private volatile int listed;
     private volatile int avoided;
     private volatile long[] peers; // sent, bytes sent, heard, dropped; null where gateways do not tell each other
@@ -34,6 +35,18 @@
     private volatile long[] members; // as told to members(); null as for peers
     private volatile long[] outliers; // as told to outliers(); null as for peers
 
+    /** The bytes of clients' data that are held, and the most that may be. */
+    public static final class MemoryUse {
+        private volatile long usedBytes;
+        private volatile long limitBytes;
+
+        /** Publishes both. */
+        public void set(long used, long limit) {
+            usedBytes = used;
+            limitBytes = limit;
+        }
+    }
+
     /** The final answers of one class of requests. */
     public static final class Tally {
         private final AtomicLong[] counts = {new AtomicLong(), new AtomicLong(), new AtomicLong()};
@@ -87,6 +100,11 @@
         lists.incrementAndGet();
     }
 
+    /** The memory that the clients of a front may use, by the front's name. */
+    public MemoryUse memory(String front) {
+        return memory.computeIfAbsent(front, name -> new MemoryUse());
+    }
+
     /** Something happened once. */
     public void count(EventCount event) {
         events.incrementAndGet(event.ordinal());
@@ -153,6 +171,10 @@
         out.add(new Figure("conf_loaded", loaded.get(), true));
         out.add(new Figure("conf_invalid", invalid.get(), true));
         out.add(new Figure("lists_rejected", lists.get(), true));
+        memory.forEach((front, use) -> {
+            out.add(new Figure("memory_used_bytes." + front, use.usedBytes, false));
+            out.add(new Figure("memory_limit_bytes." + front, use.limitBytes, false));
+        });
         for (EventCount event : EventCount.values()) {
             out.add(new Figure(event.figureName(), events.get(event.ordinal()), true));
         }
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -20,8 +20,10 @@
 
     private final ConnectionPool pool;
     private final ClientRequest request;
-    private final byte[] body;
-    private ByteBuffer requestBytes; // null until a connection is assigned
+    /** The head and the body of the request as far as they are not written; null before a connection is assigned. */
+    private ByteBuffer[] unwritten;
+
+    private byte[] body; // shared by all calls of a request; null once it is written
     private final ResponseHandler handler;
     private final ResponseParser parser;
     private PooledConnection pooledConnection;
@@ -49,15 +51,13 @@
     Call(ConnectionPool pool, ResponseHandler handler) {
         this.pool = pool;
         this.request = null;
-        this.body = null;
-        this.requestBytes = ByteBuffer.allocate(0);
         this.handler = handler;
         this.parser = ResponseParser.forRemainingChunks(handler);
         this.writeStarted = true;
         this.writeCompleted = true;
     }
 
-    private static ByteBuffer encode(ClientRequest request, byte[] body) {
+    private static ByteBuffer encodeHead(ClientRequest request) {
         StringBuilder head = new StringBuilder(512)
                 .append(request.getMethod())
                 .append(' ')
@@ -68,11 +68,7 @@
                 head.append(values.getHeaderName()).append(": ").append(value).append("\r\n");
             }
         }
-        byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(headBytes.length + body.length)
-                .put(headBytes)
-                .put(body)
-                .flip();
+        return ByteBuffer.wrap(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** True for a call that releases the state an engine holds. */
@@ -191,31 +187,45 @@
         pooledConnection.connection.getSourceChannel().setReadListener(c -> read());
         pooledConnection.connection.getSinkChannel().setWriteListener(c -> write());
         pooledConnection.connection.getSourceChannel().resumeReads();
-        if (requestBytes == null) {
+        if (!writeCompleted && unwritten == null) {
             handler.beforeWrite(request.getRequestHeaders());
-            requestBytes = encode(request, body);
+            unwritten = new ByteBuffer[] {encodeHead(request), ByteBuffer.wrap(body)};
         }
         write();
     }
 
     private void write() {
-        if (done || failing) return;
+        if (done || failing || writeCompleted) return;
         try {
-            while (requestBytes.hasRemaining()) {
-                if (pooledConnection.connection.getSinkChannel().write(requestBytes) == 0) {
+            while (hasUnwritten()) {
+                if (pooledConnection.connection.getSinkChannel().write(unwritten, 0, unwritten.length) == 0) {
                     pooledConnection.connection.getSinkChannel().resumeWrites();
                     return;
                 }
                 writeStarted = true;
             }
             pooledConnection.connection.getSinkChannel().suspendWrites();
-            if (!writeCompleted) handler.onWritten();
             writeCompleted = true;
+            dropRequest();
+            handler.onWritten();
         } catch (IOException e) {
             fail();
         }
     }
 
+    private boolean hasUnwritten() {
+        for (ByteBuffer buffer : unwritten) {
+            if (buffer.hasRemaining()) return true;
+        }
+        return false;
+    }
+
+    /** A call may be remembered for as long as its request is open; its bytes are needed only until they are written. */
+    private void dropRequest() {
+        unwritten = null;
+        body = null;
+    }
+
     private void read() {
         if (done || failing || paused || pooledConnection == null || reading) return;
         reading = true;
@@ -261,7 +271,7 @@
     /** Completes the response. A connection with surplus bytes or a partly written request is not reused. */
     private void complete(boolean noBytesLeft) {
         PooledConnection used = pooledConnection;
-        boolean reusable = noBytesLeft && parser.isKeepAlive() && !requestBytes.hasRemaining();
+        boolean reusable = noBytesLeft && parser.isKeepAlive() && writeCompleted;
         if (reusable) pooledConnection = null;
         finish();
         if (reusable) pool.returnIdle(used);
@@ -280,12 +290,13 @@
         pool.loop().execute(() -> {
             if (done) return;
             finish();
-            handler.onFailed(requestBytes == null || requestBytes.hasRemaining());
+            handler.onFailed(!writeCompleted);
         });
     }
 
     private void finish() {
         done = true;
+        dropRequest();
         cancelTimeout();
         if (pooledConnection != null) pooledConnection.close();
     }
--- a/src/main/java/maplerail/net/XnioEventLoop.java
+++ b/src/main/java/maplerail/net/XnioEventLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import maplerail.core.EventLoop;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -137,20 +138,25 @@
         double polledMs = nowMs();
         metrics.loopTurns().record(polledMs - pollRequestedMs);
         double untilMs = polledMs + MAX_TIMER_RUN_MS;
-        do {
-            TimerQueue.Entry next = timers.pollDue(dueMs);
-            if (next == null) break;
-            metrics.timerDelays().record(nowMs() - next.dueMs());
-            run(next.task());
-        } while (nowMs() < untilMs);
-        scheduleNext();
+        try {
+            do {
+                TimerQueue.Entry next = timers.pollDue(dueMs);
+                if (next == null) break;
+                metrics.timerDelays().record(nowMs() - next.dueMs());
+                run(next.task());
+            } while (nowMs() < untilMs);
+        } finally {
+            scheduleNext();
+        }
     }
 
-    private static void run(Runnable task) {
+    /** Runs a task; whatever it throws, an error such as a lack of memory too, ends this task only. */
+    private void run(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LOG.error("timer task failed", e);
+        } catch (RuntimeException | Error e) {
+            metrics.count(EventCount.LOOP_TASKS_FAILED);
+            LOG.error("task of the event loop failed", e);
         }
     }
 
@@ -162,7 +168,7 @@
     /** Queues a task, from any thread; it is dropped if the thread is stopping. */
     public void execute(Runnable task) {
         try {
-            thread.execute(task);
+            thread.execute(() -> run(task));
         } catch (RejectedExecutionException e) {
             return;
         }
--- a/src/main/java/maplerail/server/FrontListener.java
+++ b/src/main/java/maplerail/server/FrontListener.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
+import maplerail.core.MemoryBudget;
 import maplerail.front.AcceptThrottle;
 import maplerail.front.ConnectionManager;
 import maplerail.metrics.Metrics;
@@ -55,6 +56,7 @@
             HttpHandler handler,
             int maxConnections,
             DrainSchedule drain,
+            MemoryBudget memory,
             Metrics metrics,
             Consumer<ConnectionManager> attach,
             SocketOpener opener)
@@ -67,7 +69,7 @@
                         .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                         .getMap());
         http.setRootHandler(handler);
-        ConnectionManager connections = new ConnectionManager(http, loop, maxConnections, drain, metrics);
+        ConnectionManager connections = new ConnectionManager(http, loop, maxConnections, drain, memory, metrics);
         attach.accept(connections);
         OptionMap options = OptionMap.builder()
                 .set(Options.BACKLOG, BACKLOG)
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -21,6 +21,7 @@
 import maplerail.core.DecisionLog;
 import maplerail.core.DrainSchedule;
 import maplerail.core.Lifecycle.Phase;
+import maplerail.core.MemoryBudget;
 import maplerail.discovery.PlatformDiscovery;
 import maplerail.front.ConnectionManager;
 import maplerail.front.admin.AdminListener;
@@ -72,6 +73,7 @@
     private final XnioWorker worker;
     private final XnioEventLoop loop;
     private final DescriptorBudget descriptors;
+    private final MemoryBudget memory;
     private final Optional<Path> sharedFolder;
     private final AdmissionStage admission;
     private final ConnectionPool enginePool;
@@ -109,7 +111,8 @@
         engines = new EngineClient(enginePool, metrics);
         RoutingSettings settings = config.settings();
         SplittableRandom advice = new SplittableRandom(settings.seed() ^ ADVICE_SEED);
-        admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(wire.maxOpen()), loop, advice);
+        memory = MemoryBudget.ofPlatform(Runtime.getRuntime().maxMemory(), metrics);
+        admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(wire.maxOpen()), memory, loop, advice, metrics);
         drainSchedule = new DrainSchedule(lifecycle.phases(), loop);
         admission.rejectWhile(drainSchedule::isRejecting);
         broker = new Broker(
@@ -175,7 +178,8 @@
                 worker,
                 loop,
                 buffers,
-                descriptors);
+                descriptors,
+                MemoryBudget.ofTools(Runtime.getRuntime().maxMemory(), metrics));
     }
 
     private PeerService createPeers(NodeConfig initial) {
@@ -252,6 +256,7 @@
                     platform,
                     descriptors.platformClients(),
                     drainSchedule,
+                    memory,
                     metrics,
                     platform::setConnections,
                     this::openPlatformSocket);
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -7,6 +7,7 @@
 import maplerail.core.Broker;
 import maplerail.core.DrainSchedule;
 import maplerail.core.Lifecycle;
+import maplerail.core.MemoryBudget;
 import maplerail.front.jsonrpc.RpcFront;
 import maplerail.metrics.Metrics;
 import maplerail.net.XnioEventLoop;
@@ -22,6 +23,7 @@
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
     private final DescriptorBudget descriptors;
+    private final MemoryBudget memory;
     private final DrainSchedule drain;
     private final Metrics metrics;
     private FrontListener listener;
@@ -36,7 +38,9 @@
             XnioWorker worker,
             XnioEventLoop loop,
             ByteBufferPool buffers,
-            DescriptorBudget descriptors) {
+            DescriptorBudget descriptors,
+            MemoryBudget memory) {
+        this.memory = memory;
         this.config = config;
         this.worker = worker;
         this.loop = loop;
@@ -45,8 +49,8 @@
         long seed = nodeConfig.settings().seed();
         this.drain = drain;
         this.metrics = metrics;
-        services = new ToolServices(config, loop, buffers, seed, descriptors.toolServers(), metrics, drain);
-        front = new RpcFront(config, services.brokers(), broker, nodeConfig.names(), lifecycle, loop);
+        services = new ToolServices(config, loop, buffers, seed, descriptors.toolServers(), metrics, drain, memory);
+        front = new RpcFront(config, services.brokers(), broker, nodeConfig.names(), lifecycle, loop, metrics);
     }
 
     /** Starts to look for tool servers; called on the loop. */
@@ -62,6 +66,7 @@
                 front,
                 descriptors.toolClients(),
                 drain,
+                memory,
                 metrics,
                 front::setConnections,
                 (onAccept, options) -> IoThreadListener.open(worker, config.listen(), onAccept, options));
--- a/src/main/java/maplerail/server/ToolServices.java
+++ b/src/main/java/maplerail/server/ToolServices.java
@@ -12,6 +12,7 @@
 import maplerail.core.AdmissionStage;
 import maplerail.core.Broker;
 import maplerail.core.DrainSchedule;
+import maplerail.core.MemoryBudget;
 import maplerail.discovery.ConsulDiscovery;
 import maplerail.metrics.Metrics;
 import maplerail.net.ConnectionPool;
@@ -49,13 +50,15 @@
             long seed,
             int mostConnections,
             Metrics metrics,
-            DrainSchedule drain) {
+            DrainSchedule drain,
+            MemoryBudget memory) {
         this.config = config;
         this.loop = loop;
         this.seed = seed;
         this.pool = new ConnectionPool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         RoutingSettings settings = config.settings(seed);
-        AdmissionStage admit = new AdmissionStage(config.budgets(MOST_OPEN), loop, new SplittableRandom(~seed));
+        AdmissionStage admit =
+                new AdmissionStage(config.budgets(MOST_OPEN), memory, loop, new SplittableRandom(~seed), metrics);
         admit.rejectWhile(drain::isRejecting);
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -10,6 +10,8 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.Endpoint;
 import maplerail.routing.EndpointState;
@@ -39,7 +41,9 @@
     private static final long WRITER = 2;
 
     private final TestLoop loop = new TestLoop();
-    private final maplerail.metrics.Metrics metrics = new maplerail.metrics.Metrics();
+    private static final int PAYLOAD_BYTES = 10;
+
+    private final Metrics metrics = new Metrics();
     private final List<RoutingEvent> reportedEvents = new ArrayList<>();
     private final List<RoutingAction> nextActions = new ArrayList<>();
     private final List<SentAttempt> sentAttempts = new ArrayList<>();
@@ -214,7 +218,12 @@
         broker = new Broker(
                 policy,
                 settings,
-                new AdmissionStage(AdmissionLimits.ofOpenRequests(3), loop, new SplittableRandom(1)),
+                new AdmissionStage(
+                        AdmissionLimits.ofOpenRequests(3),
+                        new MemoryBudget(1_000_000, metrics.memory("platform")),
+                        loop,
+                        new SplittableRandom(1),
+                        metrics),
                 loop,
                 transport,
                 log::add,
@@ -409,7 +418,12 @@
     private RequestHandle submit(String id, boolean resumed, RoutingAction... actions) {
         nextActions.addAll(List.of(actions));
         return broker.submit(
-                new InferenceRequest(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, resumed, 10, new RequestPayload() {}),
+                new InferenceRequest(id, 0, 0, 0, 10, 0, 0, 5_000, 10, 0, resumed, PAYLOAD_BYTES, new RequestPayload() {
+                    @Override
+                    public boolean release() {
+                        return true;
+                    }
+                }),
                 recordingObserver());
     }
 
@@ -1075,10 +1089,11 @@
     void aTeamsBudgetRefillsOverTime() {
         AdmissionStage admission = new AdmissionStage(
                 new AdmissionLimits(9, List.of(), List.of(new AdmissionLimits.Budget(2, 9))),
+                MemoryBudget.unlimited(),
                 loop,
-                new SplittableRandom(1));
-        InferenceRequest request =
-                new InferenceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new RequestPayload() {});
+                new SplittableRandom(1),
+                new Metrics());
+        RequestRecord request = recordOf(0);
         assertThat(admission.admit(request)).isEmpty();
         assertThat(admission.admit(request)).isEmpty();
         assertThat(admission.admit(request))
@@ -1087,12 +1102,59 @@
         assertThat(admission.admit(request)).isEmpty();
     }
 
+    private static RequestRecord recordOf(int payloadBytes) {
+        return new RequestRecord(
+                1,
+                new InferenceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, payloadBytes, new RequestPayload() {}),
+                null,
+                0,
+                null);
+    }
+
+    /** Guards against open requests that fill the heap: each holds its payload until no attempt can need it. */
+    @Test
+    void payloadsHoldMemoryUntilNoAttemptNeedsThem() {
+        submit("streams", new RoutingAction.StartAttempt(1, WRITER, 0));
+        submit("fails", new RoutingAction.StartAttempt(2, WRITER, 0));
+        assertThat(memoryUsed()).isEqualTo(2 * PAYLOAD_BYTES);
+        sentAttempts.get(0).observer.onEvent(new byte[1]);
+        assertThat(memoryUsed()).as("no further attempt of a stream").isEqualTo(PAYLOAD_BYTES);
+        applyActions(new RoutingAction.StartAttempt(1, WRITER, 0));
+        assertThat(sentAttempts).as("not even if the policy starts one").hasSize(2);
+        applyActions(new RoutingAction.FailRequest(2));
+        assertThat(memoryUsed()).as("an attempt is in flight").isEqualTo(PAYLOAD_BYTES);
+        sentAttempts.get(1).observer.onEnded(AttemptOutcome.RESET, 0);
+        assertThat(memoryUsed()).isZero();
+    }
+
+    @Test
+    void aRequestWithoutMemoryForItsPayloadIsRejectedAndCounted() {
+        Metrics counts = new Metrics();
+        AdmissionStage admission = new AdmissionStage(
+                AdmissionLimits.ofOpenRequests(9),
+                new MemoryBudget(8_000, counts.memory("platform")),
+                loop,
+                new SplittableRandom(1),
+                counts);
+        assertThat(admission.admit(recordOf(1_001)).orElseThrow().reason()).isEqualTo(ResponseObserver.Reason.OVERLOAD);
+        assertThat(admission.admit(recordOf(1_000))).isEmpty();
+        assertThat(counts.countOf(EventCount.REQUESTS_REFUSED_MEMORY)).isEqualTo(1);
+    }
+
+    private long memoryUsed() {
+        return metricValues().get("memory_used_bytes.platform");
+    }
+
     /** With identical advice, clients that are rejected at the same time would retry at the same time. */
     @Test
     void retryAdviceIsRandomized() {
-        AdmissionStage admission = new AdmissionStage(AdmissionLimits.ofOpenRequests(1), loop, new SplittableRandom(1));
-        InferenceRequest request =
-                new InferenceRequest("a", 0, 0, 0, 0, 0, 0, 1, 0, 0, false, 0, new RequestPayload() {});
+        AdmissionStage admission = new AdmissionStage(
+                AdmissionLimits.ofOpenRequests(1),
+                MemoryBudget.unlimited(),
+                loop,
+                new SplittableRandom(1),
+                new Metrics());
+        RequestRecord request = recordOf(0);
         assertThat(admission.admit(request)).isEmpty();
         double[] advice = java.util.stream.IntStream.range(0, 100)
                 .mapToDouble(i -> admission.admit(request).orElseThrow().retryAfterMs())
--- a/src/test/java/maplerail/front/ConnectionManagerTest.java
+++ b/src/test/java/maplerail/front/ConnectionManagerTest.java
@@ -19,6 +19,7 @@
 import maplerail.core.DrainSchedule;
 import maplerail.core.EventLoop;
 import maplerail.core.Lifecycle;
+import maplerail.core.MemoryBudget;
 import maplerail.metrics.Metrics;
 import maplerail.net.XnioEventLoop;
 import maplerail.support.StandIn;
@@ -79,8 +80,8 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         HttpOpenListener http = new HttpOpenListener(new DefaultByteBufferPool(true, 8_192), OptionMap.EMPTY);
-        ConnectionManager connections =
-                new ConnectionManager(http, loop, 100, new DrainSchedule(new Lifecycle(), loop), new Metrics());
+        ConnectionManager connections = new ConnectionManager(
+                http, loop, 100, new DrainSchedule(new Lifecycle(), loop), MemoryBudget.unlimited(), new Metrics());
         http.setRootHandler(exchange -> {
             connections.onRequestHead(exchange);
             exchange.getResponseSender().send("answer");
--- a/src/test/java/maplerail/net/XnioEventLoopTest.java
+++ b/src/test/java/maplerail/net/XnioEventLoopTest.java
@@ -8,11 +8,16 @@
 import java.net.ServerSocket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import maplerail.core.EventLoop;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -26,11 +31,12 @@
 
     private final XnioWorker worker;
     private final XnioEventLoop loop;
+    private final Metrics metrics = new Metrics();
     private final BlockingQueue<String> events = World.queue();
 
     XnioEventLoopTest() throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        loop = new XnioEventLoop(worker.getIoThread());
+        loop = new XnioEventLoop(worker.getIoThread(), metrics);
     }
 
     @AfterEach
@@ -121,15 +127,27 @@
         assertThat(take(events)).isEqualTo("30 at true");
     }
 
-    /** A timer task that throws must not end the loop's further timers. */
-    @Test
-    void aFailingTimerDoesNotStopOtherTimers() throws Exception {
+    static Stream<Throwable> failures() {
+        return Stream.of(new IllegalStateException("thrown by the test"), new OutOfMemoryError("thrown by the test"));
+    }
+
+    /** Guards against a loop whose timers stop for good after a task that throws, an error such as a lack of memory too. */
+    @ParameterizedTest
+    @MethodSource("failures")
+    void aFailingTaskDoesNotStopOtherTasks(Throwable failure) throws Exception {
         loop.execute(() -> {
-            loop.schedule(loop.nowMs(), () -> {
-                throw new IllegalStateException("thrown by the test");
-            });
+            loop.schedule(loop.nowMs(), () -> sneakyThrow(failure));
             loop.schedule(loop.nowMs(), () -> events.add("next"));
         });
         assertThat(take(events)).isEqualTo("next");
+        loop.execute(() -> sneakyThrow(failure));
+        loop.schedule(loop.nowMs() + 5, () -> events.add("later"));
+        assertThat(take(events)).isEqualTo("later");
+        assertThat(metrics.countOf(EventCount.LOOP_TASKS_FAILED)).isEqualTo(2);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <T extends Throwable> void sneakyThrow(Throwable failure) throws T {
+        throw (T) failure;
     }
 }
