--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -165,8 +165,12 @@
         final EngineState engine;
         final boolean isRead;
         final double sentMs = nowMs;
+        /** Whether it can have an effect at all: an attempt at a pure reader has none, however it ends. */
+        final boolean canHaveEffect;
         double cost, uncachedTokens, matchedTokens;
         boolean ended, cancelled, streaming, answered;
+        /** Whether its outcome proves that it had no effect. */
+        boolean provenWithoutEffect;
         /** If overdue: extended once, as its engine answered others; not cancelled, as not repeatable. */
         boolean graceGranted, cancelDeferred;
 
@@ -175,8 +179,14 @@
             this.number = request.attempts.size();
             this.engine = engine;
             this.isRead = isRead;
+            this.canHaveEffect = engine.role != EngineRole.READER;
         }
 
+        boolean mayHaveExecuted() { return canHaveEffect && !provenWithoutEffect; }
+
+        /** True once engines may no longer recognise its idempotency key. */
+        boolean isKeyExpired() { return nowMs >= sentMs + request.requestClass.keyTtlMs(); }
+
         /** Readers process prompts in order: an answer to a later prompt shows that this answer was lost. */
         boolean isOvertaken() { return engine.role == EngineRole.READER
                 && sentMs < engine.latestAnsweredSentMs; }
@@ -205,7 +215,6 @@
         EngineState reservedWriter;
         boolean mayHoldState; // whether any engine may hold a state for it
         double reservedMs, firstTokenMs; // start of the state's reservation; time of the first token
-        AttemptState firstMaybeExecuted; // the first attempt that may have been executed
 
         RequestState(RoutingEvent.RequestArrived arrival, int client) {
             this.arrival = arrival;
@@ -223,6 +232,8 @@
                     : ESTIMATED_OUTPUT_SHARE * arrival.maxOutputTokens();
         }
 
+        boolean mayHaveExecuted() { return attempts.stream().anyMatch(AttemptState::mayHaveExecuted); }
+
         boolean is(Idempotency idempotency) { return requestClass.idempotency() == idempotency; }
 
         boolean isAnswered() { return phase == Phase.CLOSED || phase == Phase.STREAMING; }
@@ -430,6 +441,7 @@
     private void endAttempt(AttemptState attempt, RoutingEvent.AttemptEnded ended) {
         RequestState request = attempt.request;
         attempt.ended = true;
+        attempt.provenWithoutEffect = ended.outcome().provesNoEffect();
         request.attemptsInFlight--;
         request.reservedMs = nowMs;
         request.mayHoldState |= ended.outcome() == AttemptOutcome.PROMPT_READ;
@@ -883,9 +895,6 @@
         engine.inFlight.add(attempt);
         engine.queuedTokens += attempt.uncachedTokens;
         if (!attempt.isRead) engine.projectedTokens += projectedTokens(request);
-        // An attempt at a pure reader has no effect, regardless of its outcome.
-        if (engine.role != EngineRole.READER && request.firstMaybeExecuted == null)
-            request.firstMaybeExecuted = attempt;
         actions.add(new RoutingAction.StartAttempt(request.id, engine.id, request.deadlineAtMs));
         setOverdueTimer(attempt, nowMs + overdueAfterMs(attempt));
         return true;
@@ -893,20 +902,19 @@
 
     /** True if maybe executed and not idempotent, or with a key that engines no longer recognise. */
     private boolean isUnrepeatable(RequestState request) {
-        AttemptState first = request.firstMaybeExecuted;
-        if (first == null || request.is(Idempotency.IDEMPOTENT)) return false;
-        return request.is(Idempotency.NON_IDEMPOTENT)
-                || nowMs >= first.sentMs + request.requestClass.keyTtlMs();
+        if (request.is(Idempotency.IDEMPOTENT)) return false;
+        return request.attempts.stream().anyMatch(a -> a.mayHaveExecuted()
+                && (request.is(Idempotency.NON_IDEMPOTENT) || a.isKeyExpired()));
     }
 
     /** An unrepeatable request may only be sent to readers; one with a key only to an engine that
-     * recognises the key from all attempts that may have been executed. */
+     * recognises the key from each attempt that is in flight or may have been executed. */
     private boolean mayBeSentTo(RequestState request, EngineState engine) {
         boolean keyed = request.is(Idempotency.IDEMPOTENCY_KEY);
         if (!keyed) return engine.role == EngineRole.READER || !isUnrepeatable(request);
-        return request.attempts.stream().allMatch(a -> a.ended && a != request.firstMaybeExecuted
-                || nowMs < a.sentMs + request.requestClass.keyTtlMs()
-                        && request.requestClass.keyScope().includes(a.engine.endpoint, engine.endpoint));
+        IdempotencyScope scope = request.requestClass.keyScope();
+        return request.attempts.stream().filter(a -> !a.ended || a.mayHaveExecuted())
+                .allMatch(a -> !a.isKeyExpired() && scope.includes(a.engine.endpoint, engine.endpoint));
     }
 
     private boolean isWarmingUp(EngineState engine) {
@@ -979,7 +987,7 @@
      * still arrive in time; an attempt at a writer is cancelled after the objective. */
     private boolean deferCancel(AttemptState attempt) {
         RequestState request = attempt.request;
-        if (!request.is(Idempotency.NON_IDEMPOTENT) || attempt != request.firstMaybeExecuted) return false;
+        if (!request.is(Idempotency.NON_IDEMPOTENT) || !attempt.mayHaveExecuted()) return false;
         attempt.cancelDeferred = true;
         if (attempt.isRead || nowMs >= request.objectiveAtMs) return attempt.isRead;
         setOverdueTimer(attempt, request.objectiveAtMs);
@@ -1004,8 +1012,6 @@
     }
 
     private void onFailure(RequestState request, AttemptState attempt, AttemptOutcome outcome) {
-        if (outcome.provesNoEffect() && request.firstMaybeExecuted == attempt)
-            request.firstMaybeExecuted = null;
         if (request.phase == Phase.STREAMING || request.attemptsInFlight > 0) return;
         if (outcome == AttemptOutcome.STATE_LOST) request.stateHolder = null;
         // A request that may have been executed and can't be repeated ends at once, as waiting can't help.
@@ -1129,8 +1135,9 @@
     private void rejectOrFail(RequestState request) {
         if (request == null || request.isAnswered()) return;
         // A read in flight proves nothing.
-        boolean maybeExecuted = request.firstMaybeExecuted != null || request.attemptsInFlight > 0;
-        boolean keysKnownEverywhere = request.requestClass.keyScope() == IdempotencyScope.ALL;
+        boolean maybeExecuted = request.mayHaveExecuted() || request.attemptsInFlight > 0;
+        boolean keysKnownEverywhere = request.requestClass.keyScope() == IdempotencyScope.ALL
+                && !isUnrepeatable(request);
         boolean retryIsSafe = !maybeExecuted || request.is(Idempotency.IDEMPOTENT)
                 || request.is(Idempotency.IDEMPOTENCY_KEY) && keysKnownEverywhere;
         double maxDelayMs = Math.min(settings.limits().maxRetryAfterMs(), WAIT_DECAY_MS);
--- a/src/test/java/maplerail/routing/d2lpm/D2lpmPolicyTest.java
+++ b/src/test/java/maplerail/routing/d2lpm/D2lpmPolicyTest.java
@@ -634,6 +634,45 @@
         assertTrue(gateway.actionsOf(RejectRequest.class).isEmpty());
     }
 
+    /** Guards against a repeat in a second cell: the attempt that ran is forgotten when an earlier one is turned away. */
+    @Test
+    void keyedRequestStaysInTheCellOfWhatMayHaveRunAfterAnEarlierAttemptIsDeclined() {
+        PolicyHarness gateway = new PolicyHarness();
+        gateway.idempotency = Idempotency.IDEMPOTENCY_KEY;
+        gateway.keyScope = IdempotencyScope.CELL;
+        gateway.keyTtlMs = 5_000;
+        gateway.start(mixed(21, 1), mixed(22, 1), mixed(23, 1), mixed(31, 2), mixed(32, 2), mixed(33, 2));
+        gateway.arrive(1);
+        boolean firstCell = gateway.startedAttempt().engine() < 30;
+        gateway.advanceTo(1_990);
+        assertTrue(gateway.startedAttempts().size() > 1, "hedged");
+        for (int i = 1; i < gateway.startedAttempts().size(); i++) gateway.endAttempt(1, i, AttemptOutcome.RESET);
+        gateway.endAttempt(1, 0, AttemptOutcome.OVERLOADED);
+        gateway.advanceTo(7_000);
+        assertTrue(gateway.startedAttempts().stream().allMatch(s -> s.engine() < 30 == firstCell));
+        assertTrue(gateway.actionsOf(RejectRequest.class).isEmpty(), "no refusal of what may have run");
+    }
+
+    private static Endpoint mixed(long engine, int cell) {
+        return new Endpoint(engine, EndpointState.READY, 0, 0, cell, 1, 2);
+    }
+
+    /** Guards against a refusal of what may have run, once a client's repeat would no longer be dropped. */
+    @ParameterizedTest
+    @CsvSource({"9000, 1, 0", "500, 0, 1"})
+    void keyedRequestIsRefusedAfterARunOnlyWithinItsKeyTtl(double ttlMs, int rejections, int failures) {
+        PolicyHarness gateway = new PolicyHarness();
+        gateway.idempotency = Idempotency.IDEMPOTENCY_KEY;
+        gateway.keyTtlMs = ttlMs;
+        gateway.cancel = false;
+        gateway.hedging = false;
+        gateway.start(mixed(21, 1));
+        gateway.arrive(1);
+        gateway.advanceTo(7_000);
+        assertEquals(rejections, gateway.actionsOf(RejectRequest.class).size());
+        assertEquals(failures, gateway.actionsOf(FailRequest.class).size());
+    }
+
     @Test
     void concurrentAttemptsRequireHedging() {
         PolicyHarness gateway = new PolicyHarness();
