Front: Req-Cost is read in microseconds, and one that can't be used refuses no request

Cause: RequestParser took the number for milliseconds; the platform's page says microseconds.

Change: microseconds at the front, milliseconds inside, each name with its unit. A hint that is no number or above an hour is left out and counted (cost_hints_ignored), as it is a guess and no page asks for a refusal.

--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -12,6 +12,7 @@
 import maplerail.front.BodyReader;
 import maplerail.front.ConnectionManager;
 import maplerail.front.DisconnectDetector;
+import maplerail.metrics.Metrics;
 import org.xnio.IoUtils;
 
 /** The platform's HTTP front: a readiness check, and one inference request per exchange, which goes to the broker. */
@@ -20,20 +21,22 @@
     public static final int MAX_BODY_BYTES = 256 * 1024;
 
     private final Broker broker;
+    private final Metrics metrics;
     private RequestParser parser;
     private final Lifecycle lifecycle;
     private ConnectionManager connections;
 
     /** Creates a front with the configured names of classes and tenants. */
-    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle) {
+    public PlatformFront(Broker broker, Names names, Lifecycle lifecycle, Metrics metrics) {
         this.broker = broker;
-        this.parser = new RequestParser(names);
+        this.metrics = metrics;
+        this.parser = new RequestParser(names, metrics);
         this.lifecycle = lifecycle;
     }
 
     /** Replaces the names of classes and tenants. */
     public void updateNames(Names names) {
-        parser = new RequestParser(names);
+        parser = new RequestParser(names, metrics);
     }
 
     /** Sets the manager of this front's client connections. */
--- a/src/main/java/maplerail/front/platform/RequestParser.java
+++ b/src/main/java/maplerail/front/platform/RequestParser.java
@@ -9,10 +9,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import maplerail.config.EngineIds;
 import maplerail.config.Names;
 import maplerail.core.InferenceRequest;
+import maplerail.metrics.EventCount;
+import maplerail.metrics.Metrics;
 import maplerail.net.HttpRequestPayload;
 
 /** Parses a client's headers and body into an {@link InferenceRequest}, and reports why a request is invalid. */
@@ -20,6 +23,8 @@
     private static final double BYTES_PER_TOKEN = 4;
     private static final double MAX_SECONDS = 3_600; // of a deadline
     private static final double MAX_TOKENS = 1e7;
+    private static final double MAX_EXPECTED_STREAM_MS = 3_600_000;
+    private static final double MICROSECONDS_PER_MS = 1_000;
     private static final Set<HttpString> NOT_FORWARDED = Set.of(
             Headers.HOST,
             Headers.CONNECTION,
@@ -33,9 +38,11 @@
             new HttpString("Req-Deadline"));
 
     private final Names names;
+    private final Metrics metrics;
 
-    RequestParser(Names names) {
+    RequestParser(Names names, Metrics metrics) {
         this.names = names;
+        this.metrics = metrics;
     }
 
     /** Thrown for an invalid request; the message is sent to the client. */
@@ -60,7 +67,6 @@
         double promptTokens = tokenCount(extra, "prompt_len", body.length / BYTES_PER_TOKEN);
         long prefixKey = EngineIds.key(extra.get("prefix"));
         double maxOutputTokens = tokenCount(extra, "max_out", 0);
-        String cost = exchange.getRequestHeaders().getFirst("Req-Cost");
         boolean isRetry = "again".equals(exchange.getRequestHeaders().getFirst("Req-Retry"));
         return new InferenceRequest(
                 id,
@@ -72,12 +78,30 @@
                 prefixKey == 0 ? 0 : tokenCount(extra, "prefix_len", 0),
                 seconds * 1_000,
                 maxOutputTokens,
-                cost == null ? 0 : parseNumber(cost, "Req-Cost", MAX_SECONDS * 1_000),
+                expectedStreamMs(exchange.getRequestHeaders().getFirst("Req-Cost")),
                 isRetry,
                 body.length,
                 new HttpRequestPayload(exchange.getRequestMethod(), target(exchange), headers(exchange), body));
     }
 
+    /** The client's guess at the work, which is left out and counted if it can't be used; 0 for none. */
+    private double expectedStreamMs(String microseconds) {
+        if (microseconds == null) return 0;
+        OptionalDouble expectedMs = parseMicroseconds(microseconds.trim());
+        if (expectedMs.isEmpty()) metrics.count(EventCount.COST_HINTS_IGNORED);
+        return expectedMs.orElse(0);
+    }
+
+    /** A number of microseconds, in milliseconds; empty if it is none or out of range. */
+    static OptionalDouble parseMicroseconds(String text) {
+        try {
+            double maxMicroseconds = MAX_EXPECTED_STREAM_MS * MICROSECONDS_PER_MS;
+            return OptionalDouble.of(parseNumber(text, "Req-Cost", maxMicroseconds) / MICROSECONDS_PER_MS);
+        } catch (BadRequestException e) {
+            return OptionalDouble.empty();
+        }
+    }
+
     private static String target(HttpServerExchange exchange) {
         String query = exchange.getQueryString();
         return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -124,7 +124,7 @@
                 line -> LOG.info("{}", line),
                 metrics,
                 config.names().classes());
-        platform = new PlatformFront(broker, config.names(), lifecycle.phases());
+        platform = new PlatformFront(broker, config.names(), lifecycle.phases(), metrics);
         discovery = new PlatformDiscovery(
                 discoveryPool,
                 loop,
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -76,6 +76,24 @@
         }
     }
 
+    /** Guards against requests that are refused for their clients' guess at the work: it is left out and counted. */
+    @ParameterizedTest
+    @CsvSource({"9000000, 0", "3600000000, 0", "3600000001, 1", "soon, 1"})
+    void aRequestIsServedWhateverItsCostHint(String hint, long ignored) throws Exception {
+        try (StandIn reader = World.reader();
+                StandIn writer = World.writer();
+                World world = new World()
+                        .admin()
+                        .engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start()) {
+            String hinted = request("a1", "lookup", "5.0")
+                    .replace("Content-Length", "Req-Cost: " + hint + "\r\nContent-Length");
+            assertThat(world.exchange(hinted)).startsWith("HTTP/1.1 200").contains("[DONE]");
+            assertThat(world.figure("cost_hints_ignored")).isEqualTo(ignored);
+        }
+    }
+
     /** A restarted gateway serves from its last endpoint list while discovery does not answer. */
     @Test
     void theLastEndpointListIsUsedWhileDiscoveryDoesNotAnswer() throws Exception {
