--- a/src/main/java/maplerail/core/AdoptedStreams.java
+++ b/src/main/java/maplerail/core/AdoptedStreams.java
@@ -62,7 +62,7 @@
         all.subList(0, (int) Math.ceil(share * all.size())).forEach(Stream::abort);
     }
 
-    private final class Stream implements AttemptObserver, RequestHandle {
+    private final class Stream implements AttemptObserver, RequestHandle, SuspendedStream.Owner {
         private final String requestClass;
         private final String requestId;
         private final ResponseObserver observer;
@@ -92,61 +92,30 @@
             return observer.suspend().map(client -> {
                 suspended = true;
                 paused = true;
-                return new Suspension(client, handle.suspend());
+                return new SuspendedStream(requestClass, requestId, client, handle.suspend(), this);
             });
         }
 
-        /** This stream while another process is asked to continue it. */
-        private final class Suspension implements SuspendedStream {
-            private final Object client;
-            private final Object engine;
-
-            Suspension(Object client, Object engine) {
-                this.client = client;
-                this.engine = engine;
-            }
-
-            @Override
-            public String requestClass() {
-                return requestClass;
-            }
-
-            @Override
-            public String requestId() {
-                return requestId;
-            }
-
-            @Override
-            public Object clientConnection() {
-                return client;
-            }
-
-            @Override
-            public Object engineConnection() {
-                return engine;
-            }
-
-            @Override
-            public void release() {
-                handle.release();
-                observer.release();
-                close(Verdict.UNWANTED);
-            }
-
-            @Override
-            public void resume() {
-                suspended = false;
-                paused = false;
-                lastEventMs = loop.nowMs();
-                observer.resume();
-                handle.resume();
-            }
-
-            @Override
-            public void breakOff() {
-                suspended = false;
-                abort();
-            }
+        @Override
+        public void release() {
+            handle.release();
+            observer.release();
+            close(Verdict.UNWANTED);
+        }
+
+        @Override
+        public void resume() {
+            suspended = false;
+            paused = false;
+            lastEventMs = loop.nowMs();
+            observer.resume();
+            handle.resume();
+        }
+
+        @Override
+        public void breakOff() {
+            suspended = false;
+            abort();
         }
 
         void abort() {
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -253,7 +253,9 @@
         return record.observer.suspend().map(client -> {
             record.suspended = true;
             attempt.paused = true;
-            return new SuspendedRequest(record, attempt, client, attempt.handle.suspend());
+            String className = record.terms.of(record.request).name();
+            return new SuspendedStream(
+                    className, record.request.id(), client, attempt.handle.suspend(), new StreamOwner(record));
         });
     }
 
@@ -354,43 +356,17 @@
         }
     }
 
-    /** A request whose stream another process is asked to continue. */
-    private final class SuspendedRequest implements SuspendedStream {
+    /** Goes on with a request's stream, or lets it go, after another process was asked to continue it. */
+    private final class StreamOwner implements SuspendedStream.Owner {
         private final RequestRecord record;
-        private final Attempt attempt;
-        private final Object client;
-        private final Object engine;
 
-        SuspendedRequest(RequestRecord record, Attempt attempt, Object client, Object engine) {
+        StreamOwner(RequestRecord record) {
             this.record = record;
-            this.attempt = attempt;
-            this.client = client;
-            this.engine = engine;
-        }
-
-        @Override
-        public String requestClass() {
-            return record.terms.of(record.request).name();
-        }
-
-        @Override
-        public String requestId() {
-            return record.request.id();
-        }
-
-        @Override
-        public Object clientConnection() {
-            return client;
-        }
-
-        @Override
-        public Object engineConnection() {
-            return engine;
         }
 
         @Override
         public void release() {
-            attempt.handle.release();
+            record.winner.handle.release();
             record.observer.release();
             dispatcher.onClientDisconnected(record);
         }
--- a/src/main/java/maplerail/server/StreamHandover.java
+++ b/src/main/java/maplerail/server/StreamHandover.java
@@ -154,7 +154,7 @@
         switch (result) {
             case TAKEN -> release(stream);
             case REJECTED, UNANSWERED -> keep(stream);
-            case UNKNOWN -> stream.breakOff();
+            case UNKNOWN -> stream.owner().breakOff();
         }
     }
 
@@ -164,7 +164,7 @@
         clients.unregister(client);
         AdoptedSocket.release(client);
         AdoptedSocket.release(engine);
-        stream.release();
+        stream.owner().release();
         metrics.count(EventCount.STREAMS_HANDED_ON);
         loop.schedule(loop.nowMs() + CLOSE_DELAY_MS, () -> {
             AdoptedSocket.closeReleased(client);
@@ -174,13 +174,13 @@
 
     private void keep(SuspendedStream stream) {
         metrics.count(EventCount.STREAMS_KEPT);
-        stream.resume();
+        stream.owner().resume();
     }
 
     private void onBatchOffered(
             DescriptorChannel.Sender outbox, List<SuspendedStream> rest, OfferResult last, double untilMs) {
         offered -= rest.size();
-        rest.forEach(SuspendedStream::resume);
+        rest.forEach(stream -> stream.owner().resume());
         if (last != OfferResult.TAKEN) LOG.info("streams continue here offer={} count={}", last, rest.size() + 1);
         refused = last == OfferResult.REJECTED;
         switch (last) {
