Upgrade: a process that is slow to answer still gets streams

A new process that always needs longer would never get a stream, and those that outlast SIGKILL would be lost where clients do not ask for the rest.

Change: after silence the next wait is twice as long, up to 0.8 s, with one stream at a time; a quick answer ends that.

Test: UpgradeIT.aProcessThatIsSlowToAnswerStillGetsTheStream, with a process that needs 0.3 s (fails without the change by construction: the wait is 0.2 s; not run so).

--- a/src/main/java/maplerail/server/StreamHandover.java
+++ b/src/main/java/maplerail/server/StreamHandover.java
@@ -36,7 +36,8 @@
     private static final int BATCH = 4; // suspended at a time
     private static final double BATCH_INTERVAL_MS = 20;
     private static final double REFUSED_INTERVAL_MS = 200; // after a refusal, in which room may be freed
-    private static final double MAX_SUSPENSION_MS = 200; // an event must not be held back for longer
+    private static final double SUSPENSION_MS = 200; // for which an event may be held back while its stream is offered,
+    private static final double MAX_SUSPENSION_MS = 800; // at most, if the other process needs longer for its answer
     private static final double RECONNECT_MS = 50; // between two attempts to reach the process that serves on
     private static final double CLOSE_DELAY_MS = 5; // after a release, until the selector has forgotten a socket
 
@@ -48,6 +49,7 @@
     private final Metrics metrics;
     private boolean connected;
     private boolean refused;
+    private double suspensionMs = SUSPENSION_MS;
     private int offered;
 
     /**
@@ -107,19 +109,21 @@
             worker.execute(() -> IoUtils.safeClose(outbox));
             return;
         }
-        List<SuspendedStream> batch = broker.suspendStreams(BATCH);
+        boolean slow = suspensionMs > SUSPENSION_MS;
+        List<SuspendedStream> batch = broker.suspendStreams(slow ? 1 : BATCH);
         if (batch.isEmpty()) {
             loop.schedule(loop.nowMs() + BATCH_INTERVAL_MS, () -> offerBatch(outbox, untilMs));
             return;
         }
         offered += batch.size();
-        double answerByMs = loop.nowMs() + MAX_SUSPENSION_MS;
-        worker.execute(() -> offerAll(outbox, new ArrayDeque<>(batch), answerByMs, untilMs));
+        double suspendedMs = loop.nowMs();
+        worker.execute(() -> offerAll(outbox, new ArrayDeque<>(batch), suspendedMs, untilMs));
     }
 
     /** Offers streams one after the other; those that are not offered, for whatever reason, continue here. */
     private void offerAll(
-            DescriptorChannel.Sender outbox, Queue<SuspendedStream> batch, double answerByMs, double untilMs) {
+            DescriptorChannel.Sender outbox, Queue<SuspendedStream> batch, double suspendedMs, double untilMs) {
+        double answerByMs = suspendedMs + suspensionMs;
         OfferResult last = OfferResult.UNANSWERED;
         try {
             do {
@@ -131,7 +135,10 @@
             } while (last == OfferResult.TAKEN && !batch.isEmpty() && loop.nowMs() < answerByMs);
         } finally {
             OfferResult result = last;
-            loop.execute(() -> onBatchOffered(outbox, List.copyOf(batch), result, untilMs));
+            loop.execute(() -> {
+                adjustSuspension(result, loop.nowMs() - suspendedMs);
+                onBatchOffered(outbox, List.copyOf(batch), result, untilMs);
+            });
         }
     }
 
@@ -177,6 +184,12 @@
         stream.owner().resume();
     }
 
+    /** Waits longer for a process that did not answer in time, with one stream at a time, until it is fast again. */
+    private void adjustSuspension(OfferResult result, double tookMs) {
+        if (result == OfferResult.UNANSWERED) suspensionMs = Math.min(MAX_SUSPENSION_MS, 2 * suspensionMs);
+        else if (tookMs < SUSPENSION_MS / 2) suspensionMs = SUSPENSION_MS;
+    }
+
     private void onBatchOffered(
             DescriptorChannel.Sender outbox, List<SuspendedStream> rest, OfferResult last, double untilMs) {
         offered -= rest.size();
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -8,6 +8,8 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,6 +24,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import maplerail.migration.DescriptorChannel;
+import maplerail.migration.DescriptorChannel.AcceptedStream;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +34,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.xnio.IoUtils;
 
 /** The packaged program, started beside itself on one listening socket that whoever starts it keeps. */
 class UpgradeIT {
@@ -47,6 +51,7 @@
             kill 9, @started;
             """;
 
+    private static final long SLOW_ANSWER_MS = 300; // longer than a stream is suspended at first
     private static final int FEW_DESCRIPTORS = 512; // of which a sixth may be streams of another process
 
     @TempDir
@@ -418,6 +423,48 @@
         assertThat(reader.count("POST")).as("none was begun again").isEqualTo(6);
     }
 
+    /** Guards against streams that are never handed on, as the process that serves on is slow to answer. */
+    @Test
+    void aProcessThatIsSlowToAnswerStillGetsTheStream() throws Exception {
+        long first = start("a", "good");
+        awaitReady("a");
+        await("it takes streams", () -> Files.exists(folder.resolve("maplerail-streams")));
+        List<StandIn.Exchange> streams = new ArrayList<>();
+        List<Socket> clients = openStreams(1, streams);
+        BlockingQueue<SocketChannel> committed = World.queue();
+        try (DescriptorChannel other = DescriptorChannel.listen(folder, 1, (stream, client, engine) -> {
+            sleep(SLOW_ANSWER_MS);
+            return Optional.of(new AcceptedStream() {
+                @Override
+                public void commit() {
+                    committed.add(client);
+                }
+
+                @Override
+                public void abandon() {
+                    IoUtils.safeClose(client, engine);
+                }
+            });
+        })) {
+            signal("TERM", first);
+            SocketChannel client = World.take(committed);
+            client.write(ByteBuffer.wrap("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n".getBytes(StandardCharsets.UTF_8)));
+            assertThat(World.untilLastChunk(clients.get(0).getInputStream()))
+                    .containsSubsequence("data: 1", "data: [DONE]")
+                    .endsWith("\r\n0\r\n\r\n");
+            await("a has gone", () -> !alive(first));
+            assertThat(log("a")).contains("offer=UNANSWERED", "drained streams_handed_on=1");
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private long figure(String name, String figure) {
         Matcher door =
                 Pattern.compile("operators are answered at \\S*:(\\d+)\\s").matcher(log(name));
