Log: why a read is given up, what a writer answered, when a hold is released

New lines: 'read given up' with its reason (counted as reads_given_up), 'place answered' with writer, result and time, 'release started' with holder, phase and how long it may have been held. Decisions are unchanged: BrokerTest green, its bound on log lines untouched (releases that follow at once are not logged).

--- /dev/null
+++ b/src/main/java/maplerail/core/GiveUpReason.java
@@ -0,0 +1,13 @@
+package maplerail.core;
+
+/** Why a read without a response is given up; written to the log. */
+enum GiveUpReason {
+    /** Its reader has completed a read that was written later. */
+    OVERTAKEN,
+    /** Connections to its reader that were opened after the read was written have failed. */
+    READER_UNREACHABLE,
+    /** Its reader has been silent on all connections. */
+    READER_SILENT,
+    /** A writer has reported that no read of the request is in flight. */
+    NOT_IN_FLIGHT
+}
--- a/src/main/java/maplerail/core/ReadTracker.java
+++ b/src/main/java/maplerail/core/ReadTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import maplerail.algorithms.DecayingAverage;
 
 /**
@@ -22,16 +23,6 @@
  * gateways. If the reader has no recent samples, the average over all readers is used.
  */
 final class ReadTracker {
-    /** How to proceed with a read. */
-    enum Assessment {
-        /** Keep waiting for its response. */
-        WAIT,
-        /** Ask a writer whether it is still in flight. */
-        PROBE,
-        /** Abort it and release its state. */
-        LOST
-    }
-
     /** Share of the reservation limit, from the expected end of a read until a proof of its loss counts. */
     private static final double PROOF_SHARE_OF_LIMIT = 0.6;
 
@@ -106,11 +97,12 @@
                     : confirmedAtMs + REPEAT_PROBE_MS;
         }
 
-        private boolean provesLost(Attempt read) {
-            boolean overtaken = lastCompletedWrittenMs > read.writtenMs();
+        private Optional<GiveUpReason> proofOfLoss(Attempt read) {
+            if (lastCompletedWrittenMs > read.writtenMs()) return Optional.of(GiveUpReason.OVERTAKEN);
             // A single connection may fail by chance: two attempts that started after the write must have failed.
-            boolean unreachable = previousFailureMs > read.writtenMs();
-            return overtaken || unreachable;
+            return previousFailureMs > read.writtenMs()
+                    ? Optional.of(GiveUpReason.READER_UNREACHABLE)
+                    : Optional.empty();
         }
     }
 
@@ -166,13 +158,19 @@
         allDurations.add(elapsedMs, nowMs);
     }
 
-    /** Assesses a read of which at least one byte was sent and that has no response. */
-    Assessment assess(Attempt read, double nowMs) {
+    /** Why a read that was sent and has no response is to be given up; empty while it may be in flight. */
+    Optional<GiveUpReason> giveUpReason(Attempt read, double nowMs) {
         ReaderStats reader = readers.get(read.engine);
-        if (reader != null && reader.provesLost(read) && nowMs >= proofValidFromMs(read, nowMs)) return Assessment.LOST;
-        if (!read.record.terms.placeReservationAllowed()
-                && nowMs >= silenceThresholdMs(read, lostShareOfLimit(read), nowMs)) return Assessment.LOST;
-        return mayProbe(read) && nowMs >= probeAtMs(read, nowMs) ? Assessment.PROBE : Assessment.WAIT;
+        Optional<GiveUpReason> proof = reader == null ? Optional.empty() : reader.proofOfLoss(read);
+        if (proof.isPresent() && nowMs >= proofValidFromMs(read, nowMs)) return proof;
+        boolean silent = !read.record.terms.placeReservationAllowed()
+                && nowMs >= silenceThresholdMs(read, lostShareOfLimit(read), nowMs);
+        return silent ? Optional.of(GiveUpReason.READER_SILENT) : Optional.empty();
+    }
+
+    /** True if a writer is to be asked now whether a read is still in flight. */
+    boolean isProbeDue(Attempt read, double nowMs) {
+        return mayProbe(read) && nowMs >= probeAtMs(read, nowMs);
     }
 
     /** When a read is to be assessed next if no response arrives meanwhile. */
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -13,6 +13,9 @@
  * only counted.
  */
 final class RequestEventLog {
+    /** Releases that start sooner are not logged: most follow the end of an attempt at once. */
+    private static final double MIN_LOGGED_HOLD_MS = 100;
+
     private final EventLoop loop;
     private final LogRateLimiter limiter;
     private final Metrics metrics;
@@ -87,6 +90,42 @@
                 record.isStreaming());
     }
 
+    /** Records that a read is given up without a response, and why. */
+    void readGivenUp(Attempt read, GiveUpReason reason) {
+        metrics.count(EventCount.READS_GIVEN_UP);
+        if (!limiter.tryAcquire()) return;
+        writeLine(
+                "read given up request=%s attempt=%d engine=%s reason=%s written_ms_ago=%.0f",
+                read.record.request.id(),
+                read.number,
+                engineNames.apply(read.engine),
+                reason,
+                loop.nowMs() - read.writtenMs());
+    }
+
+    /** Records a writer's answer to being asked for a place, or that it gave none. */
+    void placeAnswered(Attempt read, long writer, ReservePlaceResult result, double elapsedMs) {
+        if (!limiter.tryAcquire()) return;
+        writeLine(
+                "place answered request=%s writer=%s result=%s elapsed_ms=%.0f about_attempt=%d read_in_flight=%b",
+                read.record.request.id(), engineNames.apply(writer), result, elapsedMs, read.number, read.isInFlight());
+    }
+
+    /** Records the start of a release of what an engine may have held for a while: who may hold what, and how long. */
+    void releaseStarted(RequestRecord record, Reservation reservation) {
+        double heldMs = loop.nowMs() - record.reservations.limitFromMs();
+        if (heldMs < MIN_LOGGED_HOLD_MS || !limiter.tryAcquire()) return;
+        writeLine(
+                "release started request=%s holder=%s phase=%s may_reappear=%b held_ms=%.0f in_flight=%d answered=%b",
+                record.request.id(),
+                engineNames.apply(reservation.engine),
+                reservation.phase(),
+                reservation.stateMayReappear(),
+                heldMs,
+                record.attempts.stream().filter(Attempt::isInFlight).count(),
+                record.finished);
+    }
+
     /** Records a request that was rejected or failed without a response from an engine. */
     void requestEnded(RequestRecord record, String end, ResponseObserver.Reason reason) {
         if (!limiter.tryAcquire()) return;
--- a/src/main/java/maplerail/core/ReservationManager.java
+++ b/src/main/java/maplerail/core/ReservationManager.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import maplerail.core.Reservation.Phase;
 import maplerail.routing.AttemptOutcome;
 import maplerail.routing.RoutingEvent.PeerRead;
@@ -201,14 +202,17 @@
         for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
             Attempt read = reading.read();
             if (read.isUnsent()) continue;
-            switch (reads.assess(read, loop.nowMs())) {
-                case WAIT -> {}
-                case PROBE -> requestProbe(read);
-                case LOST -> attempts.abortUnresponsive(read);
-            }
+            Optional<GiveUpReason> reason = reads.giveUpReason(read, loop.nowMs());
+            if (reason.isPresent()) giveUp(read, reason.get());
+            else if (reads.isProbeDue(read, loop.nowMs())) requestProbe(read);
         }
     }
 
+    private void giveUp(Attempt read, GiveUpReason reason) {
+        events.readGivenUp(read, reason);
+        attempts.abortUnresponsive(read);
+    }
+
     private void requestProbe(Attempt read) {
         read.probe.onRequested(loop.nowMs());
         attempts.onUnresponsive(read);
@@ -222,14 +226,16 @@
             reads.onProbeStarted(read);
             // If one open connection was dead, others may be too: the next writer is asked on a new one.
             ConnectionChoice connection = read.probe.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
+            double askedMs = loop.nowMs();
             transport.reservePlace(
-                    writer, record.request.id(), connection, result -> onPlaceResult(read, writer, result));
+                    writer, record.request.id(), connection, result -> onPlaceResult(read, writer, askedMs, result));
             return;
         }
     }
 
-    private void onPlaceResult(Attempt read, long writer, ReservePlaceResult result) {
+    private void onPlaceResult(Attempt read, long writer, double askedMs, ReservePlaceResult result) {
         RequestRecord record = read.record;
+        events.placeAnswered(read, writer, result, loop.nowMs() - askedMs);
         reads.onProbeResult(read, result, loop.nowMs());
         if (!read.isInFlight()) {
             // The release after the read may have reached the writer before the reservation of the place.
@@ -246,7 +252,7 @@
     private void abortLostRead(Attempt read) {
         if (!read.isInFlight()) return;
         events.readLost();
-        attempts.abortUnresponsive(read);
+        giveUp(read, GiveUpReason.NOT_IN_FLIGHT);
     }
 
     /** True while a read is in flight of which any byte was sent: a release would cancel it. */
@@ -317,6 +323,7 @@
     }
 
     private void release(RequestRecord record, Reservation reservation) {
+        events.releaseStarted(record, reservation);
         reservation.release(loop.nowMs() - record.lastCancelMs < RECENT_CANCEL_MS);
         unfinishedReleases++;
         double retryMs = reservation.stateMayReappear() ? HUNG_READER_RETRY_MS : RELEASE_RETRY_MS;
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -26,6 +26,8 @@
     /** Writers asked whether a read is in flight, and reads that were not any more though their answers were not heard. */
     PLACES_ASKED,
     READS_LOST,
+    /** Reads without a response that were given up, for whatever reason. */
+    READS_GIVEN_UP,
     /** Connections to engines begun, and what became of them; kept are those that came up after their calls had ended. */
     DIALS_BEGUN,
     DIALS_UP,
