--- a/src/test/java/maplerail/incident/UnheardReadsIT.java
+++ b/src/test/java/maplerail/incident/UnheardReadsIT.java
@@ -3,13 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import maplerail.support.GatewayProcess;
-import maplerail.support.KeptConnection;
+import maplerail.support.RequestLoad;
 import maplerail.support.StandInFleet;
 import maplerail.support.StandInFleet.Engine;
 import maplerail.support.World;
@@ -98,19 +95,19 @@
         A_READER_HANGS {
             @Override
             void begin(StandInFleet fleet, GatewayProcess gateway) {
-                hang(fleet.readers.get(0), HANG_MS);
+                fleet.readers.get(0).freeze(HANG_MS);
             }
         },
         ALL_READERS_HANG {
             @Override
             void begin(StandInFleet fleet, GatewayProcess gateway) {
-                fleet.readers.forEach(reader -> hang(reader, HANG_MS));
+                fleet.readers.forEach(reader -> reader.freeze(HANG_MS));
             }
         },
         A_READER_HANGS_AND_THE_PROCESS_IS_TOLD_TO_END {
             @Override
             void begin(StandInFleet fleet, GatewayProcess gateway) {
-                hang(fleet.readers.get(0), TERM_HANG_MS);
+                fleet.readers.get(0).freeze(TERM_HANG_MS);
                 background(() -> {
                     TimeUnit.MILLISECONDS.sleep(TERM_AFTER_HANG_MS);
                     gateway.signal("TERM");
@@ -124,14 +121,6 @@
             void run() throws Exception;
         }
 
-        private static void hang(Engine engine, long forMs) {
-            engine.hang();
-            background(() -> {
-                TimeUnit.MILLISECONDS.sleep(forMs);
-                engine.goOn();
-            });
-        }
-
         private static void background(Step step) {
             Thread thread = new Thread(() -> {
                 try {
@@ -168,43 +157,21 @@
         try (World world = surroundings;
                 StandInFleet fleet = new StandInFleet(7, 3, 4, world);
                 GatewayProcess gateway = GatewayProcess.start(folder, world.config("127.0.0.1:0"), null)) {
-            int port = gateway.port("listens on");
-            List<KeptConnection> clients = new ArrayList<>();
-            for (int i = 0; i < WARM_UP_REQUESTS; i++) clients.add(send(port, "warm" + i, i));
-            World.await("answered", () -> clients.stream().allMatch(client -> client.lastUnansweredMs() < 0));
+            RequestLoad load = new RequestLoad(gateway.port("listens on"), DEADLINE);
+            for (int i = 0; i < WARM_UP_REQUESTS; i++) load.send("warm" + i);
+            load.awaitAnswered();
             for (int i = 0; i < REQUESTS; i++) {
                 if (i == FAULT_AT_REQUEST) fault.begin(fleet, gateway);
-                trySend(port, "held" + i, i, clients);
+                load.trySend("held" + i);
                 TimeUnit.MILLISECONDS.sleep(BETWEEN_REQUESTS_MS);
             }
             TimeUnit.MILLISECONDS.sleep(WATCHED_MS);
             Map<String, Long> late = fleet.ledger.heldLongerThan(LIMIT_MS);
             assertThat(fleet.ledger.size()).isGreaterThan(WARM_UP_REQUESTS + FAULT_AT_REQUEST);
             assertThat(late)
-                    .as("held for so many ms, %s; log:%n%s", fault, linesOf(late, gateway.log()))
+                    .as("held for so many ms, %s; log:%n%s", fault, RequestLoad.linesOf(late.keySet(), gateway.log()))
                     .isEmpty();
-            for (KeptConnection client : clients) client.close();
-        }
-    }
-
-    private static KeptConnection send(int port, String id, int number) throws Exception {
-        KeptConnection client = new KeptConnection(port, answer -> {});
-        client.send(World.request(id, number % 2 == 0 ? "lookup" : "repair-order", DEADLINE));
-        return client;
-    }
-
-    /** A process that was told to end takes no connections after a while. */
-    private static void trySend(int port, String id, int number, List<KeptConnection> clients) throws Exception {
-        try {
-            clients.add(send(port, id, number));
-        } catch (java.net.ConnectException e) {
-            return;
+            load.close();
         }
     }
-
-    private static String linesOf(Map<String, Long> requests, String log) {
-        return log.lines()
-                .filter(line -> requests.keySet().stream().anyMatch(id -> line.contains("request=" + id + " ")))
-                .collect(Collectors.joining("\n"));
-    }
 }
--- a/src/test/java/maplerail/support/StandIn.java
+++ b/src/test/java/maplerail/support/StandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -86,7 +87,7 @@
         }
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         String[] words = first.split(" ");
-        return new Exchange(words[0], words[1], headers, new String(body, StandardCharsets.UTF_8), socket, number);
+        return new Exchange(words[0], words[1], headers, new String(body, StandardCharsets.UTF_8), socket, in, number);
     }
 
     private static String line(InputStream in) throws IOException {
@@ -133,13 +134,22 @@
         public final int number;
 
         private final Socket socket;
-
-        Exchange(String method, String target, Map<String, String> headers, String body, Socket socket, int number) {
+        private final InputStream in;
+
+        Exchange(
+                String method,
+                String target,
+                Map<String, String> headers,
+                String body,
+                Socket socket,
+                InputStream in,
+                int number) {
             this.method = method;
             this.target = target;
             this.headers = headers;
             this.body = body;
             this.socket = socket;
+            this.in = in;
             this.number = number;
         }
 
@@ -172,6 +182,23 @@
             socket.close();
         }
 
+        /** Waits for a while; true as soon as the far side has ended the connection. */
+        public boolean isEndedWithin(long ms) throws IOException {
+            socket.setSoTimeout((int) Math.max(1, ms));
+            in.mark(1);
+            try {
+                if (in.read() < 0) return true;
+                in.reset(); // it sends on, which it may
+                return false;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (IOException e) {
+                return true; // a reset ends it as well
+            } finally {
+                if (!socket.isClosed()) socket.setSoTimeout(0);
+            }
+        }
+
         /** Waits until the far side has ended the connection. */
         public void awaitEnd() {
             try {
