Reservations: one latest moment for all that may be held, moved by engines' words alone

Cause: what this gateway had written counted as arrived. A release waits while a read of the request is in flight, as it would undo that read; but 'in flight' was any read of which a byte was written, and while there was one no other deadline was armed. A writer that was asked for a place was in no book while a read was in flight; and where writers may be asked, a read had no latest end if no writer was named or answered. Reads written one after another held the release back for as long as the attempts lasted.

Evidence: HeldPlacesIT with the new log lines: each 204 came while a later read was out by the gateway's book alone.

Change: core.RequestReservations knows all that may be held since when: states, what a read's engine held before it, unanswered releases, and a PlaceReservation for each call to a writer from its start on. ReservationManager has one latest moment, 30 ms after the limit, and one timer. Only engines' words move it: a response, a writer's 200 or 409 (counted from the question). At that moment reads that are not known to be in flight are given up and everything is released. A hedge that would not outlast the read it hedges replaces it; a read is written only after the release is answered, or with 250 ms left. A call for a place counts as pending when the process ends. A call that was never sent is told apart (NOT_SENT). Releases and their repeats are ReservationReleaser, moved out unchanged.

Why it works: whatever is added to the book has a time, the moment is the minimum of these, and nothing but an engine can move it, so neither a new kind of attempt nor an early return can leave anything without it.

Ten new cases in BrokerTest, nine of which fail on the code before. Two tests are changed: aReadConfirmedInFlightIsAwaitedAndProbedAgain asked for a read to be awaited for 2 s after its last confirmation, which is the fault; it now confirms it eight times over 2.5 s, and a new test holds the limit after the last one. aRepeatIsNotSentAfterItsIdempotencyKeyExpires tells of effects and used a reader; it uses a writer, checks unchanged.

--- a/src/main/java/maplerail/core/EngineTransport.java
+++ b/src/main/java/maplerail/core/EngineTransport.java
@@ -35,7 +35,7 @@
      */
     default void reservePlace(
             long engine, String requestId, ConnectionChoice connection, Consumer<ReservePlaceResult> onResult) {
-        onResult.accept(ReservePlaceResult.UNKNOWN);
+        onResult.accept(ReservePlaceResult.NOT_SENT);
     }
 
     /**
--- a/src/main/java/maplerail/core/GiveUpReason.java
+++ b/src/main/java/maplerail/core/GiveUpReason.java
@@ -9,5 +9,9 @@
     /** Its reader has been silent on all connections. */
     READER_SILENT,
     /** A writer has reported that no read of the request is in flight. */
-    NOT_IN_FLIGHT
+    NOT_IN_FLIGHT,
+    /** Something may be held for the request until the limit, and no attempt is known to be in flight. */
+    LIMIT_REACHED,
+    /** A hedged read is sent, and this read would reach the limit before that could end. */
+    REPLACED
 }
--- a/src/main/java/maplerail/core/ReadProbe.java
+++ b/src/main/java/maplerail/core/ReadProbe.java
@@ -28,7 +28,7 @@
     /** A probe ended with the writer's response or without one. */
     void onResult(ReservePlaceResult result, double nowMs) {
         pending = false;
-        failed = result == ReservePlaceResult.UNKNOWN;
+        failed = result.isFailure();
         confirmedRead |= result.confirmsRead();
         notBeforeMs = nowMs + retryMs;
         retryMs = failed ? Math.min(MAX_RETRY_MS, 2 * retryMs) : RETRY_MS;
--- a/src/main/java/maplerail/core/ReadTracker.java
+++ b/src/main/java/maplerail/core/ReadTracker.java
@@ -17,7 +17,8 @@
  * <p>As long as a reader responds to any read, a read without such a proof is assumed to wait in its queue. Only if a
  * reader is silent on all connections, a writer is probed, where the settings allow it; its response shows whether the
  * read is in flight. If it is, so are reads that were written to the same reader later, and reads there take at least
- * that long. Where probing is not allowed, a read at a silent reader is considered lost.
+ * that long. A read at a silent reader that no writer has confirmed in time is considered lost, whatever became of the
+ * probes.
  *
  * <p>The expected duration of a read is the recent average at its reader, measured by this gateway or reported by other
  * gateways. If the reader has no recent samples, the average over all readers is used.
@@ -32,9 +33,6 @@
     /** Share of the limit after which the reads of a silent reader are considered lost if probing is not allowed. */
     private static final double SILENT_SHARE_OF_LIMIT = 0.9;
 
-    /** The same for a read that follows a lost one: its connection was opened after the reader had become silent. */
-    private static final double SILENT_SHARE_AFTER_LOST_READ = 2;
-
     /** Time after a writer confirmed a read until the next probe, as the read may have ended meanwhile. */
     private static final double REPEAT_PROBE_MS = 300;
 
@@ -69,7 +67,7 @@
         private double previousFailureMs = Double.NEGATIVE_INFINITY;
         /** The read that was last probed; null before the first probe. */
         private Attempt lastProbed;
-        /** When a writer last confirmed that a read was in flight. */
+        /** The last time at which a read was in flight by a writer's word. */
         private double confirmedAtMs = Double.NEGATIVE_INFINITY;
 
         /** When the read that a writer last confirmed was written. */
@@ -90,11 +88,9 @@
             return lastProbed != null && lastProbed.probe.isPending() && lastProbed.writtenMs() <= read.writtenMs();
         }
 
-        /** When a read may be probed again, if it is covered by the last confirmed read. */
-        private double nextProbeMs(Attempt read) {
-            return read.writtenMs() < confirmedReadWrittenMs
-                    ? Double.NEGATIVE_INFINITY
-                    : confirmedAtMs + REPEAT_PROBE_MS;
+        /** The last time at which a read was known to be in flight, as it was written no earlier than a confirmed one. */
+        private double inFlightAtMs(Attempt read) {
+            return read.writtenMs() < confirmedReadWrittenMs ? Double.NEGATIVE_INFINITY : confirmedAtMs;
         }
 
         private Optional<GiveUpReason> proofOfLoss(Attempt read) {
@@ -140,12 +136,12 @@
         reader(read.engine).lastProbed = read;
     }
 
-    /** A probe of a read ended with the writer's response or without one. */
-    void onProbeResult(Attempt read, ReservePlaceResult result, double nowMs) {
+    /** A probe that was sent at {@code askedMs} ended with the writer's response or without one. */
+    void onProbeResult(Attempt read, ReservePlaceResult result, double askedMs, double nowMs) {
         read.probe.onResult(result, nowMs);
         if (!result.confirmsRead() || !read.isInFlight()) return;
         ReaderStats reader = reader(read.engine);
-        reader.confirmedAtMs = nowMs;
+        reader.confirmedAtMs = askedMs;
         reader.confirmedReadWrittenMs = read.writtenMs();
         double elapsedMs = nowMs - read.writtenMs();
         if (elapsedMs > reader.durations.meanOr(MIN_WEIGHT, 0, nowMs)) reader.durations.add(elapsedMs, nowMs);
@@ -163,9 +159,30 @@
         ReaderStats reader = readers.get(read.engine);
         Optional<GiveUpReason> proof = reader == null ? Optional.empty() : reader.proofOfLoss(read);
         if (proof.isPresent() && nowMs >= proofValidFromMs(read, nowMs)) return proof;
-        boolean silent = !read.record.terms.placeReservationAllowed()
-                && nowMs >= silenceThresholdMs(read, lostShareOfLimit(read), nowMs);
-        return silent ? Optional.of(GiveUpReason.READER_SILENT) : Optional.empty();
+        return nowMs >= silentFromMs(read, nowMs) ? Optional.of(GiveUpReason.READER_SILENT) : Optional.empty();
+    }
+
+    /** When the reader of a read counts as silent, if nothing is heard of the read meanwhile. */
+    private double silentFromMs(Attempt read, double nowMs) {
+        return read.record.terms.placeReservationAllowed() || followsLostRead(read)
+                ? latestReleaseMs(read, nowMs)
+                : silenceThresholdMs(read, SILENT_SHARE_OF_LIMIT, nowMs);
+    }
+
+    /** When the state of a read must be released, if nothing is heard of the read meanwhile. */
+    double latestReleaseMs(Attempt read, double nowMs) {
+        return stateFromMs(read, nowMs) + limitMs(read) + ReservationManager.SLACK_MS;
+    }
+
+    /**
+     * The earliest time since which a read may have left a state, if it takes as long as is expected. A read that a
+     * writer has confirmed may have ended right after that, however long reads are expected to take.
+     */
+    double stateFromMs(Attempt read, double nowMs) {
+        ReaderStats reader = readers.get(read.engine);
+        double inFlightMs = reader == null ? Double.NEGATIVE_INFINITY : reader.inFlightAtMs(read);
+        double endMs = read.probe.hasConfirmedRead() ? Double.NEGATIVE_INFINITY : expectedEndMs(read, nowMs);
+        return Math.max(Math.max(endMs, lastResponseMs(read)), inFlightMs);
     }
 
     /** True if a writer is to be asked now whether a read is still in flight. */
@@ -177,8 +194,7 @@
     double nextAssessmentMs(Attempt read, double nowMs) {
         double nextMs = laterOrRecheckMs(proofValidFromMs(read, nowMs), nowMs);
         if (mayProbe(read)) nextMs = Math.min(nextMs, laterOrRecheckMs(probeAtMs(read, nowMs), nowMs));
-        if (read.record.terms.placeReservationAllowed()) return nextMs;
-        return Math.min(nextMs, laterOrRecheckMs(silenceThresholdMs(read, lostShareOfLimit(read), nowMs), nowMs));
+        return Math.min(nextMs, laterOrRecheckMs(silentFromMs(read, nowMs), nowMs));
     }
 
     private static double laterOrRecheckMs(double whenMs, double nowMs) {
@@ -187,11 +203,10 @@
 
     private double probeAtMs(Attempt read, double nowMs) {
         ReaderStats reader = readers.get(read.engine);
-        double repeatMs = reader == null ? Double.NEGATIVE_INFINITY : reader.nextProbeMs(read);
+        double repeatMs = reader == null ? Double.NEGATIVE_INFINITY : reader.inFlightAtMs(read) + REPEAT_PROBE_MS;
         return Math.max(Math.max(read.probe.notBeforeMs(), repeatMs), probeSilenceThresholdMs(read, nowMs));
     }
 
-    /** A read that a writer has confirmed may have ended right after that, however long reads are expected to take. */
     private double probeSilenceThresholdMs(Attempt read, double nowMs) {
         double shareMs = PROBE_SHARE_OF_LIMIT * limitMs(read);
         return read.probe.hasConfirmedRead()
@@ -221,10 +236,6 @@
         return reader == null ? Double.NEGATIVE_INFINITY : reader.lastResponseMs;
     }
 
-    private static double lostShareOfLimit(Attempt read) {
-        return followsLostRead(read) ? SILENT_SHARE_AFTER_LOST_READ : SILENT_SHARE_OF_LIMIT;
-    }
-
     private static double limitMs(Attempt read) {
         return read.record.terms.reservationLimitMs();
     }
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -83,7 +83,7 @@
         writeLine(
                 "reservation overdue request=%s held_ms=%.0f holders=%s in_flight=%d answered=%b streaming=%b",
                 record.request.id(),
-                loop.nowMs() - record.reservations.limitFromMs(),
+                loop.nowMs() - record.reservations.limitFromMs(loop.nowMs()),
                 record.reservations.holders().stream().map(engineNames::apply).toList(),
                 record.attempts.stream().filter(Attempt::isInFlight).count(),
                 record.finished,
@@ -113,7 +113,7 @@
 
     /** Records the start of a release of what an engine may have held for a while: who may hold what, and how long. */
     void releaseStarted(RequestRecord record, Reservation reservation) {
-        double heldMs = loop.nowMs() - record.reservations.limitFromMs();
+        double heldMs = loop.nowMs() - reservation.sinceMs();
         if (heldMs < MIN_LOGGED_HOLD_MS || !limiter.tryAcquire()) return;
         writeLine(
                 "release started request=%s holder=%s phase=%s may_reappear=%b held_ms=%.0f in_flight=%d answered=%b",
--- a/src/main/java/maplerail/core/RequestReservations.java
+++ b/src/main/java/maplerail/core/RequestReservations.java
@@ -4,12 +4,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 import maplerail.core.Reservation.Phase;
 
-/** The reservations that engines have, or may have, for one request: at most one for each engine. */
+/**
+ * What engines hold, or may hold, for one request: at most one state for each engine, and the places that writers were
+ * asked for. Its limit has one start: the earliest time since which anything may be held, or the last time at which an
+ * attempt was known to be in flight, if that is later.
+ */
 final class RequestReservations {
     private final Map<Long, Reservation> byEngine = new LinkedHashMap<>();
-    private double limitFromMs;
+    private final List<PlaceReservation> places = new ArrayList<>();
+    private double lastInFlightMs = Double.NEGATIVE_INFINITY;
     private boolean overdue;
     private boolean expired;
 
@@ -27,10 +34,6 @@
         return byEngine.get(engine);
     }
 
-    boolean isEmpty() {
-        return byEngine.isEmpty();
-    }
-
     /** The reservations in a phase, as a copy. */
     List<Reservation> inPhase(Phase phase) {
         List<Reservation> found = new ArrayList<>();
@@ -56,20 +59,63 @@
         return unreleased().stream().map(reservation -> reservation.engine).toList();
     }
 
-    /** The start of the reservation limit: the last proof that an attempt had arrived and ended, or a release. */
-    double limitFromMs() {
-        return limitFromMs;
+    // ---- Places ----
+
+    /** A writer is asked to reserve a place. */
+    void onPlaceAsked(PlaceReservation place) {
+        places.add(place);
+    }
+
+    /** A writer has not reserved the place, or it is released. */
+    void removePlace(PlaceReservation place) {
+        places.remove(place);
+    }
+
+    /** The places whose writers have responded or did not respond in time, as a copy. */
+    List<PlaceReservation> answeredPlaces() {
+        return places.stream().filter(PlaceReservation::isAnswered).toList();
     }
 
-    /** Restarts the limit after an engine has responded. */
-    void restartLimit(double nowMs) {
-        limitFromMs = nowMs;
+    // ---- The limit ----
+
+    /** An attempt was known to be in flight at the given time: an engine has responded to it, or reported it. */
+    void onKnownInFlight(double whenMs) {
+        if (whenMs <= lastInFlightMs) return;
+        lastInFlightMs = whenMs;
         overdue = false;
     }
 
     /** A release was sent although a write in flight may use the state: the next one is due a full interval later. */
     void onReleasedInUse(double nowMs) {
-        limitFromMs = nowMs;
+        lastInFlightMs = Math.max(lastInFlightMs, nowMs);
+    }
+
+    /** True if an engine may hold anything for which no release was started. */
+    boolean mayHoldUnreleased() {
+        return unreleasedSinceMs() < Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * The start of the limit, for everything that may be held and of which no engine has answered a release yet;
+     * infinity if there is nothing.
+     */
+    double limitFromMs(double nowMs) {
+        double releasingMs = earliest(inPhase(Phase.RELEASING).stream()
+                .filter(reservation -> reservation.awaitsRelease(nowMs))
+                .mapToDouble(Reservation::sinceMs));
+        double sinceMs = Math.min(unreleasedSinceMs(), releasingMs);
+        return sinceMs == Double.POSITIVE_INFINITY ? sinceMs : Math.max(sinceMs, lastInFlightMs);
+    }
+
+    /** The earliest time since which a place or a state may be held; also a state that an engine held before a read. */
+    private double unreleasedSinceMs() {
+        Stream<Reservation> unreleased = byEngine.values().stream().filter(r -> r.phase() != Phase.RELEASING);
+        double statesMs = earliest(unreleased.mapToDouble(Reservation::sinceMs));
+        return Math.min(statesMs, earliest(places.stream().mapToDouble(place -> place.askedMs)));
+    }
+
+    private static double earliest(DoubleStream times) {
+        return times.min().orElse(Double.POSITIVE_INFINITY);
     }
 
     /** Marks the limit as reached; returns true the first time since it was restarted. */
--- a/src/main/java/maplerail/core/Reservation.java
+++ b/src/main/java/maplerail/core/Reservation.java
@@ -14,7 +14,11 @@
         RELEASING
     }
 
+    /** How long an unanswered release counts as one that an engine may still answer soon. */
+    private static final double RELEASE_ATTEMPT_MS = 1_500;
+
     final long engine;
+    private final double sinceMs;
     private Phase phase;
     /** The read that is in flight; set in phase READING only. */
     private Attempt read;
@@ -22,6 +26,9 @@
     private boolean stateMayReappear;
     /** An engine has responded to the release. */
     private boolean released;
+
+    private double releaseStartedMs = Double.NaN;
+
     /** When the holder first responded to a release; repeats are scheduled from then on. */
     private double holderRespondedMs = Double.NaN;
 
@@ -33,31 +40,46 @@
 
     private boolean finished;
 
-    private Reservation(long engine, Phase phase) {
+    private Reservation(long engine, Phase phase, double sinceMs) {
         this.engine = engine;
         this.phase = phase;
+        this.sinceMs = sinceMs;
     }
 
-    /** A read is sent to the engine; {@code mayHoldEarlierState} if an earlier read may have left a state there. */
-    static Reservation reading(Attempt read, boolean mayHoldEarlierState) {
-        Reservation reservation = new Reservation(read.engine, Phase.READING);
+    /** A read is sent to the engine; {@code previous} may have left a state there, or is null. */
+    static Reservation reading(Attempt read, Reservation previous) {
+        boolean mayHoldEarlierState = previous != null;
+        boolean unreleased = mayHoldEarlierState && previous.phase != Phase.RELEASING;
+        double earlierMs = unreleased ? previous.sinceMs : Double.POSITIVE_INFINITY;
+        Reservation reservation = new Reservation(read.engine, Phase.READING, earlierMs);
         reservation.read = read;
         reservation.stateMayReappear = mayHoldEarlierState;
         return reservation;
     }
 
     /** The engine has responded: the state is ready there. */
-    static Reservation reserved(long engine) {
-        return new Reservation(engine, Phase.RESERVED);
+    static Reservation reserved(long engine, double nowMs) {
+        return new Reservation(engine, Phase.RESERVED, nowMs);
     }
 
-    /** A read ended without a complete response; {@code mayBeRunning} unless the engine has reported its end. */
-    static Reservation uncertain(long engine, boolean mayBeRunning) {
-        Reservation reservation = new Reservation(engine, Phase.UNCERTAIN);
-        reservation.stateMayReappear = mayBeRunning;
+    /**
+     * The engine may hold a state or a place since the given time; {@code mayAppearLater} unless it has reported the
+     * end of the attempt or call that may leave it.
+     */
+    static Reservation uncertain(long engine, boolean mayAppearLater, double sinceMs) {
+        Reservation reservation = new Reservation(engine, Phase.UNCERTAIN, sinceMs);
+        reservation.stateMayReappear = mayAppearLater;
         return reservation;
     }
 
+    /**
+     * The earliest time at which the engine may have begun to hold something, in milliseconds. In phase READING only
+     * what it may have held before the read counts: infinity if that is nothing.
+     */
+    double sinceMs() {
+        return sinceMs;
+    }
+
     Phase phase() {
         return phase;
     }
@@ -72,8 +94,9 @@
     }
 
     /** A release is started; {@code mayPrecedeAttemptEnd} if the engine may receive it before the end of an attempt. */
-    void release(boolean mayPrecedeAttemptEnd) {
+    void release(boolean mayPrecedeAttemptEnd, double nowMs) {
         phase = Phase.RELEASING;
+        releaseStartedMs = nowMs;
         stateMayReappear |= mayPrecedeAttemptEnd;
     }
 
@@ -81,6 +104,11 @@
         return stateMayReappear;
     }
 
+    /** True while its release has no answer, until the engines that were called count as unreachable. */
+    boolean awaitsRelease(double nowMs) {
+        return phase == Phase.RELEASING && !released && nowMs < releaseStartedMs + RELEASE_ATTEMPT_MS;
+    }
+
     boolean isReleased() {
         return released;
     }
--- a/src/main/java/maplerail/core/ReservationManager.java
+++ b/src/main/java/maplerail/core/ReservationManager.java
@@ -8,54 +8,52 @@
 import maplerail.routing.RoutingEvent.PeerRead;
 
 /**
- * Ensures that the states that engines reserve for a request are used or released within the limit of the settings.
+ * Ensures that whatever engines may hold for a request, states and places, is used or released within the limit of the
+ * settings. It is the only owner of that limit.
  *
- * <p>Each engine has one {@link Reservation} from the time a read is sent to it until no state can be left there. After
- * every event of a request, {@link #review} releases the states that are not needed and sets one timer for the next
- * deadline. At that deadline, reads without a response are aborted and overdue states are released. So no event and no
- * early return can leave a reservation without a deadline. Only an engine's response proves anything: a read that was
- * written may have ended without its response arriving, so its time is counted from the write, and a release is
- * finished only once the holder itself has responded to it.
+ * <p>Each engine has one {@link Reservation} from the time a read is sent to it until no state can be left there, and
+ * each writer that was asked has a {@link PlaceReservation} from the call on. From the first of these there is one
+ * latest moment for the request, {@link #latestReleaseMs}, and one timer for it or for whatever is due earlier. Only
+ * what an engine has said moves that moment: a response, or a writer's word that a read is in flight. An attempt that
+ * was merely written does not, as it may never arrive. At that moment the reads that are not known to be in flight are
+ * given up, and everything is released. So no event and no early return can leave anything without a deadline.
  *
- * <p>A release frees the request's state at any engine and cancels its reads. So the states that earlier attempts may
- * have left are released, and the release answered, before another read is sent; and no release is sent while a read is
- * in flight.
+ * <p>A release undoes the reads of its request, at whichever engine it arrives. So none is sent while a read is in
+ * flight, before the latest moment; and what may be held is released, and the release answered, before another read is
+ * written, unless enough time is left for that read to end.
  */
 final class ReservationManager {
+    /** Time after the limit when a state is released that no write can have taken; 300 ms remain for its delivery. */
+    static final double SLACK_MS = 30;
+
     /** Share of the limit after which a state is released that a write may use: timers and calls may be late. */
     private static final double IN_USE_SHARE_OF_LIMIT = 0.8;
 
-    /** Time after the limit when a state is released that no write can have taken; 300 ms remain for its delivery. */
-    private static final double SLACK_MS = 30;
-
     /** Timers have a resolution of one millisecond. */
     private static final double TIMER_TOLERANCE_MS = 1;
 
-    /** How long a read waits for the release of the states that earlier reads may have left. */
-    private static final double RELEASE_BEFORE_READ_MS = 150;
-
-    /** How long a release is normally retried. */
-    private static final double RELEASE_RETRY_MS = 1_500;
+    /** Interval of checks after the latest moment, while something may still be held. */
+    private static final double RECHECK_MS = 50;
 
-    /** How long a release is retried if its reader may still be reading: long enough for a hung reader to recover. */
-    private static final double HUNG_READER_RETRY_MS = 30_000;
+    /** How long a read waits for the release of what may be held, if that leaves it time enough. */
+    private static final double RELEASE_BEFORE_READ_MS = 150;
 
-    /** How long after the cancellation of an attempt a release may overtake the close of its connection. */
-    private static final double RECENT_CANCEL_MS = 150;
+    /** How long a read waits if no engine answers the release at all. */
+    private static final double MAX_READ_DELAY_MS = 1_500;
 
-    /** When a release is repeated, after the holder's first response: the reader may end its read after that. */
-    private static final double[] REPEAT_AFTER_MS = {120, 400, 750, 1_100, 1_600};
+    /** The time that a read is given until the latest moment of its request; with less, it would be given up. */
+    private static final double READ_ALLOWANCE_MS = 250;
 
     /** How long a read's response may still arrive after a writer has reported that the read is not in flight. */
     private static final double LATE_READ_RESPONSE_MS = 30;
 
     private final EngineTransport transport;
     private final EventLoop loop;
-    private final EngineDirectory directory;
     private final RequestEventLog events;
+    private final ReservationReleaser releaser;
     private final ReadTracker reads = new ReadTracker();
     private AttemptControl attempts;
-    private int unfinishedReleases;
+    private int pendingPlaces;
 
     /** Aborts attempts and forwards events for the reservation manager. */
     interface AttemptControl {
@@ -75,8 +73,8 @@
     ReservationManager(EngineTransport transport, EventLoop loop, EngineDirectory directory, RequestEventLog events) {
         this.transport = transport;
         this.loop = loop;
-        this.directory = directory;
         this.events = events;
+        releaser = new ReservationReleaser(transport, loop, directory, events, new ReleaseListener());
     }
 
     /** Sets the callbacks that control attempts; to be called once, before any other method. */
@@ -84,41 +82,62 @@
         attempts = control;
     }
 
-    /** The number of unfinished releases; a process that exits before may leave states reserved at engines. */
+    /** The releases and calls that are not finished; a process that exits before may leave something held at engines. */
     int pendingReleases() {
-        return unfinishedReleases;
+        return releaser.unfinishedReleases() + pendingPlaces;
     }
 
-    // ---- Events ----
+    // ---- Reads ----
 
-    /**
-     * Runs {@code send} as soon as another read is safe: at once, or after the states that earlier reads may have left
-     * are released.
-     */
+    /** Runs {@code send} as soon as another read is safe: nothing may be held, or the read has time enough to end. */
     void sendReadWhenSafe(RequestRecord record, Runnable send) {
-        RequestReservations reservations = record.reservations;
-        boolean hedged = reservations.hasPhase(Phase.READING);
-        if (!hedged) reservations.unreleased().forEach(reservation -> release(record, reservation));
-        if (hedged || isReleased(record)) {
+        giveUpReplacedReads(record);
+        if (!record.reservations.hasPhase(Phase.READING)) releaser.releaseAll(record);
+        if (ReservationReleaser.isReleased(record) && hasTimeForRead(record)) {
             send.run();
             return;
         }
         record.waitingReads.add(send);
-        loop.schedule(loop.nowMs() + RELEASE_BEFORE_READ_MS, () -> {
-            if (record.waitingReads.remove(send)) send.run();
-        });
+        double untilMs = loop.nowMs() + MAX_READ_DELAY_MS;
+        loop.schedule(loop.nowMs() + RELEASE_BEFORE_READ_MS, () -> runDelayedRead(record, send, untilMs));
     }
 
-    private static boolean isReleased(RequestRecord record) {
-        return record.reservations.inPhase(Phase.RELEASING).stream().allMatch(Reservation::isReleased);
+    /** A hedged read takes the place of a read that would be given up, and the hedged one with it, before it can end. */
+    private void giveUpReplacedReads(RequestRecord record) {
+        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
+            Attempt read = reading.read();
+            double leftMs = reads.latestReleaseMs(read, loop.nowMs()) - loop.nowMs();
+            if (!read.isUnsent() && leftMs < READ_ALLOWANCE_MS) giveUp(read, GiveUpReason.REPLACED);
+        }
+    }
+
+    private boolean hasTimeForRead(RequestRecord record) {
+        return latestReleaseMs(record) - loop.nowMs() >= READ_ALLOWANCE_MS;
+    }
+
+    private void runDelayedRead(RequestRecord record, Runnable send, double untilMs) {
+        if (!record.waitingReads.contains(send)) return;
+        if (loop.nowMs() < untilMs && !hasTimeForRead(record)) {
+            loop.schedule(loop.nowMs() + RECHECK_MS, () -> runDelayedRead(record, send, untilMs));
+            return;
+        }
+        record.waitingReads.remove(send);
+        send.run();
+    }
+
+    private void runWaitingReads(RequestRecord record) {
+        if (!ReservationReleaser.isReleased(record) || !hasTimeForRead(record)) return;
+        List<Runnable> waiting = new ArrayList<>(record.waitingReads);
+        record.waitingReads.clear();
+        waiting.forEach(Runnable::run);
     }
 
     /** A read is about to be sent. */
     void onReadStarted(Attempt read) {
         RequestRecord record = read.record;
         Reservation previous = record.reservations.get(read.engine);
-        if (previous != null && previous.phase() == Phase.RELEASING) onReleaseFinished(record, previous);
-        record.reservations.put(Reservation.reading(read, previous != null));
+        record.reservations.put(Reservation.reading(read, previous));
+        if (previous != null && previous.phase() == Phase.RELEASING) releaser.finish(record, previous);
     }
 
     /** Another gateway reported the duration of reads at a reader. */
@@ -126,13 +145,14 @@
         reads.onPeerRead(read.engine(), read.elapsedMs(), loop.nowMs());
     }
 
+    // ---- Ends of attempts ----
+
     /** Records the state that an ended attempt may have left; {@link #review} must be called afterwards. */
     void onAttemptEnded(Attempt attempt, AttemptOutcome outcome) {
-        RequestRecord record = attempt.record;
-        RequestReservations reservations = record.reservations;
+        RequestReservations reservations = attempt.record.reservations;
         boolean responded = isEngineResponse(outcome);
         attempt.engineResponded |= responded;
-        if (responded) reservations.restartLimit(loop.nowMs());
+        if (responded) reservations.onKnownInFlight(loop.nowMs());
         if (attempt.readsPrompt) onReadEnded(attempt, outcome);
         // A writer has reported that the state is gone.
         if (outcome == AttemptOutcome.STATE_LOST)
@@ -144,7 +164,7 @@
         if (outcome == AttemptOutcome.PROMPT_READ) {
             reads.onCompleted(read, loop.nowMs());
             reservations.setExpired(false);
-            reservations.put(Reservation.reserved(read.engine));
+            reservations.put(Reservation.reserved(read.engine, loop.nowMs()));
             return;
         }
         if (isEngineResponse(outcome)) reads.onDeclined(read);
@@ -154,9 +174,14 @@
         reservations.remove(reservation);
         // A cancelled read may have completed at the same time.
         if (outcome.provesNoEffect() && !reservation.stateMayReappear() && !read.probe.wasStarted()) return;
-        if (!reservations.hasPhase(Phase.RESERVED)) reservations.restartLimit(loop.nowMs());
-        reservations.put(
-                Reservation.uncertain(read.engine, reservation.stateMayReappear() || !read.handle.isPromptRead()));
+        boolean mayAppearLater = reservation.stateMayReappear() || !read.handle.isPromptRead();
+        reservations.put(Reservation.uncertain(read.engine, mayAppearLater, heldFromMs(reservation)));
+    }
+
+    /** The earliest time since which the reader of an ended read may hold a state. */
+    private double heldFromMs(Reservation reading) {
+        double endedMs = Math.min(loop.nowMs(), reads.stateFromMs(reading.read(), loop.nowMs()));
+        return Math.min(reading.sinceMs(), endedMs);
     }
 
     /** True if the outcome was reported by the engine, which proves that the attempt had arrived there. */
@@ -167,38 +192,87 @@
         };
     }
 
-    /** The response streams: its writer has taken the state, so a release is safe. */
+    /** The response streams: its writer has taken the state, and with it the places that writers had reserved. */
     void onStreamStarted(RequestRecord record) {
-        record.reservations.inPhase(Phase.RESERVED).forEach(record.reservations::remove);
+        RequestReservations reservations = record.reservations;
+        reservations.inPhase(Phase.RESERVED).forEach(reservations::remove);
+        for (PlaceReservation place : reservations.answeredPlaces()) {
+            if (!place.mayAppearLater()) reservations.removePlace(place);
+        }
         review(record);
     }
 
     /** Releases all reservations at the policy's request, unless an attempt is in flight. */
     void releaseUnused(RequestRecord record) {
-        if (record.hasAttemptInFlight()) return;
-        record.reservations.unreleased().forEach(reservation -> release(record, reservation));
+        if (!record.hasAttemptInFlight()) releaser.releaseAll(record);
     }
 
-    // ---- Deadlines ----
+    // ---- Probes and places ----
+
+    /** Probes a read of a request by asking the writer that the routing policy has chosen to reserve a place. */
+    void reservePlace(RequestRecord record, long writer) {
+        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
+            Attempt read = reading.read();
+            if (read.isUnsent() || !reads.mayProbe(read)) continue;
+            askForPlace(read, writer);
+            return;
+        }
+    }
+
+    private void askForPlace(Attempt read, long writer) {
+        RequestRecord record = read.record;
+        PlaceReservation place = new PlaceReservation(writer, loop.nowMs());
+        record.reservations.onPlaceAsked(place);
+        pendingPlaces++;
+        // If one open connection was dead, others may be too: the next writer is asked on a new one.
+        ConnectionChoice connection = read.probe.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
+        reads.onProbeStarted(read);
+        transport.reservePlace(writer, record.request.id(), connection, result -> onPlaceResult(read, place, result));
+        armTimer(record);
+    }
+
+    private void onPlaceResult(Attempt read, PlaceReservation place, ReservePlaceResult result) {
+        RequestRecord record = read.record;
+        pendingPlaces--;
+        events.placeAnswered(read, place.writer, result, loop.nowMs() - place.askedMs);
+        reads.onProbeResult(read, result, place.askedMs, loop.nowMs());
+        place.onResult(result);
+        if (!result.mayHoldPlace()) record.reservations.removePlace(place);
+        if (result.confirmsRead()) record.reservations.onKnownInFlight(place.askedMs);
+        if (result == ReservePlaceResult.RESERVED && read.isInFlight()) attempts.onPlaceReserved(record, place.writer);
+        if (result == ReservePlaceResult.NO_READ_IN_FLIGHT)
+            loop.schedule(loop.nowMs() + LATE_READ_RESPONSE_MS, () -> giveUpLostRead(read));
+        review(record);
+        runWaitingReads(record);
+    }
+
+    private void giveUpLostRead(Attempt read) {
+        if (!read.isInFlight()) return;
+        events.readLost();
+        giveUp(read, GiveUpReason.NOT_IN_FLIGHT);
+    }
+
+    // ---- The latest moment ----
 
     /** Releases unneeded states, and sets the timer for the next deadline; to be called after every event. */
     void review(RequestRecord record) {
         if (isReleaseSafe(record)) {
-            record.reservations.unreleased().forEach(reservation -> release(record, reservation));
-            for (Reservation releasing : record.reservations.inPhase(Phase.RELEASING)) {
-                if (releasing.isRepeatDue()) repeat(record, releasing);
-            }
+            releaser.releaseAll(record);
+            releaser.sendDueRepeats(record);
         }
         armTimer(record);
     }
 
     private void onTimer(RequestRecord record) {
-        abortUnresponsiveReads(record);
-        if (!isReleaseSafe(record) && !isReading(record)) releaseOverdue(record);
+        reviewReads(record);
+        if (isLimitReached(record)) {
+            giveUpReads(record);
+            if (!isReleaseSafe(record)) releaseOverdue(record);
+        }
         review(record);
     }
 
-    private void abortUnresponsiveReads(RequestRecord record) {
+    private void reviewReads(RequestRecord record) {
         for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
             Attempt read = reading.read();
             if (read.isUnsent()) continue;
@@ -208,113 +282,45 @@
         }
     }
 
-    private void giveUp(Attempt read, GiveUpReason reason) {
-        events.readGivenUp(read, reason);
-        attempts.abortUnresponsive(read);
-    }
-
     private void requestProbe(Attempt read) {
         read.probe.onRequested(loop.nowMs());
         attempts.onUnresponsive(read);
     }
 
-    /** Probes a read of a request by asking the writer that the routing policy has chosen to reserve a place. */
-    void reservePlace(RequestRecord record, long writer) {
+    private void giveUpReads(RequestRecord record) {
         for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            if (read.isUnsent() || !reads.mayProbe(read)) continue;
-            reads.onProbeStarted(read);
-            // If one open connection was dead, others may be too: the next writer is asked on a new one.
-            ConnectionChoice connection = read.probe.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
-            double askedMs = loop.nowMs();
-            transport.reservePlace(
-                    writer, record.request.id(), connection, result -> onPlaceResult(read, writer, askedMs, result));
-            return;
-        }
-    }
-
-    private void onPlaceResult(Attempt read, long writer, double askedMs, ReservePlaceResult result) {
-        RequestRecord record = read.record;
-        events.placeAnswered(read, writer, result, loop.nowMs() - askedMs);
-        reads.onProbeResult(read, result, loop.nowMs());
-        if (!read.isInFlight()) {
-            // The release after the read may have reached the writer before the reservation of the place.
-            if (result != ReservePlaceResult.NOT_RESERVED)
-                record.reservations.put(Reservation.uncertain(writer, false));
-        } else if (result == ReservePlaceResult.RESERVED) {
-            attempts.onPlaceReserved(record, writer);
-        } else if (result == ReservePlaceResult.NO_READ_IN_FLIGHT) {
-            loop.schedule(loop.nowMs() + LATE_READ_RESPONSE_MS, () -> abortLostRead(read));
+            if (!reading.read().isUnsent()) giveUp(reading.read(), GiveUpReason.LIMIT_REACHED);
         }
-        review(record);
     }
 
-    private void abortLostRead(Attempt read) {
-        if (!read.isInFlight()) return;
-        events.readLost();
-        giveUp(read, GiveUpReason.NOT_IN_FLIGHT);
-    }
-
-    /** True while a read is in flight of which any byte was sent: a release would cancel it. */
-    private static boolean isReading(RequestRecord record) {
-        return record.reservations.inPhase(Phase.READING).stream()
-                .anyMatch(reading -> !reading.read().isUnsent());
+    private void giveUp(Attempt read, GiveUpReason reason) {
+        events.readGivenUp(read, reason);
+        attempts.abortUnresponsive(read);
     }
 
-    /** True if no attempt needs the reserved states, so that a release is safe. */
-    private static boolean isReleaseSafe(RequestRecord record) {
-        if (record.winner != null) return true;
-        boolean needed = !record.finished && record.reservations.hasPhase(Phase.RESERVED);
-        return !needed && !isReading(record) && !isWriting(record);
+    /** The latest moment at which a release must be sent for a request; infinity if nothing may be held for it. */
+    private double latestReleaseMs(RequestRecord record) {
+        double limitMs = record.terms.reservationLimitMs();
+        return record.reservations.limitFromMs(loop.nowMs())
+                + (isWriting(record) ? IN_USE_SHARE_OF_LIMIT * limitMs : limitMs + SLACK_MS);
     }
 
-    /** True while a write is in flight of which any byte was sent: it may have arrived and taken the state. */
-    private static boolean isWriting(RequestRecord record) {
-        return record.attempts.stream().anyMatch(a -> !a.readsPrompt && a.isInFlight() && !a.isUnsent());
+    private boolean isLimitReached(RequestRecord record) {
+        return loop.nowMs() >= latestReleaseMs(record) - TIMER_TOLERANCE_MS;
     }
 
     private void releaseOverdue(RequestRecord record) {
         if (record.reservations.unreleased().isEmpty()) return;
-        if (loop.nowMs() < overdueAtMs(record) - TIMER_TOLERANCE_MS) return;
         if (record.reservations.hasPhase(Phase.RESERVED) && record.reservations.markOverdue())
             events.reservationOverdue(record);
-        if (isWriting(record)) releasePossiblyInUse(record);
+        if (isWriting(record)) releaser.releasePossiblyInUse(record);
         else expire(record);
     }
 
-    private static double overdueAtMs(RequestRecord record) {
-        double limitMs = record.terms.reservationLimitMs();
-        return record.reservations.limitFromMs()
-                + (isWriting(record) ? IN_USE_SHARE_OF_LIMIT * limitMs : limitMs + SLACK_MS);
-    }
-
-    private void armTimer(RequestRecord record) {
-        record.reservationTimer.cancel();
-        double nextMs = Double.POSITIVE_INFINITY;
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            if (!read.isUnsent()) nextMs = Math.min(nextMs, reads.nextAssessmentMs(read, loop.nowMs()));
-        }
-        // Other reservations are reviewed when a read in flight has ended, at its own deadline at the latest.
-        boolean hasUnreleased = !record.reservations.unreleased().isEmpty();
-        if (hasUnreleased && !isReading(record)) nextMs = Math.min(nextMs, overdueAtMs(record));
-        if (nextMs < Double.POSITIVE_INFINITY) record.reservationTimer = loop.schedule(nextMs, () -> onTimer(record));
-    }
-
-    // ---- Releases ----
-
-    /** Engines ignore a release while a write waits for the state, so only a write that did not arrive loses it. */
-    private void releasePossiblyInUse(RequestRecord record) {
-        record.reservations.onReleasedInUse(loop.nowMs());
-        for (Reservation reservation : record.reservations.unreleased()) {
-            sendRelease(record, reservation, RELEASE_RETRY_MS, new InUseReleaseControl(record));
-        }
-    }
-
     /** No write can have taken the state: writes that still wait for a connection would arrive too late. */
     private void expire(RequestRecord record) {
         boolean reserved = record.reservations.hasPhase(Phase.RESERVED);
-        record.reservations.unreleased().forEach(reservation -> release(record, reservation));
+        releaser.releaseAll(record);
         if (!reserved) return;
         record.reservations.setExpired(true);
         for (Attempt attempt : List.copyOf(record.attempts)) {
@@ -322,102 +328,56 @@
         }
     }
 
-    private void release(RequestRecord record, Reservation reservation) {
-        events.releaseStarted(record, reservation);
-        reservation.release(loop.nowMs() - record.lastCancelMs < RECENT_CANCEL_MS);
-        unfinishedReleases++;
-        double retryMs = reservation.stateMayReappear() ? HUNG_READER_RETRY_MS : RELEASE_RETRY_MS;
-        sendRelease(record, reservation, retryMs, new UnusedReleaseControl(this, record, reservation));
-    }
-
-    private void sendRelease(RequestRecord record, Reservation reservation, double retryMs, ReleaseControl control) {
-        double untilMs = loop.nowMs() + retryMs;
-        transport.release(reservation.engine, directory.readyEngines(), record.request.id(), untilMs, control);
-    }
-
-    /** The holder is running and has received a release; a read that it has not ended may still leave a state. */
-    private void onHolderResponded(RequestRecord record, Reservation reservation) {
-        if (!reservation.stateMayReappear() || !reservation.onHolderResponded(loop.nowMs())) return;
-        scheduleNextRepeat(record, reservation);
-    }
-
-    private void scheduleNextRepeat(RequestRecord record, Reservation reservation) {
-        if (reservation.repeats() == REPEAT_AFTER_MS.length) {
-            onReleaseFinished(record, reservation);
-            return;
+    private void armTimer(RequestRecord record) {
+        record.reservationTimer.cancel();
+        double nowMs = loop.nowMs();
+        double nextMs = Double.POSITIVE_INFINITY;
+        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
+            Attempt read = reading.read();
+            if (!read.isUnsent()) nextMs = Math.min(nextMs, reads.nextAssessmentMs(read, nowMs));
+        }
+        if (record.reservations.mayHoldUnreleased() || isReading(record)) {
+            double latestMs = latestReleaseMs(record);
+            nextMs = Math.min(nextMs, latestMs > nowMs ? latestMs : nowMs + RECHECK_MS);
         }
-        double dueMs = reservation.holderRespondedMs() + REPEAT_AFTER_MS[reservation.repeats()];
-        loop.schedule(dueMs, () -> {
-            reservation.markRepeatDue();
-            if (isReleaseSafe(record)) repeat(record, reservation);
-        });
+        if (nextMs < Double.POSITIVE_INFINITY) record.reservationTimer = loop.schedule(nextMs, () -> onTimer(record));
     }
 
-    private void repeat(RequestRecord record, Reservation reservation) {
-        if (reservation.isFinished()) return;
-        reservation.onRepeated();
-        sendRelease(record, reservation, RELEASE_RETRY_MS, new UnusedReleaseControl(this, record, reservation));
-        scheduleNextRepeat(record, reservation);
-    }
+    // ---- Attempts in flight ----
 
-    private void onReleaseFinished(RequestRecord record, Reservation reservation) {
-        if (!reservation.finish()) return;
-        unfinishedReleases--;
-        record.reservations.remove(reservation);
+    /** True while a read is in flight of which any byte was sent: a release would undo it. */
+    private static boolean isReading(RequestRecord record) {
+        return record.reservations.inPhase(Phase.READING).stream()
+                .anyMatch(reading -> !reading.read().isUnsent());
     }
 
-    private void runWaitingReads(RequestRecord record) {
-        if (!isReleased(record)) return;
-        List<Runnable> reads = new ArrayList<>(record.waitingReads);
-        record.waitingReads.clear();
-        reads.forEach(Runnable::run);
+    /** True if no attempt needs the reserved states, so that a release is safe. */
+    private static boolean isReleaseSafe(RequestRecord record) {
+        if (record.winner != null) return true;
+        boolean needed = !record.finished && record.reservations.hasPhase(Phase.RESERVED);
+        return !needed && !isReading(record) && !isWriting(record);
     }
 
-    /** Controls the release of a state that a write in flight may use. */
-    private record InUseReleaseControl(RequestRecord record) implements ReleaseControl {
-        @Override
-        public boolean maySend() {
-            return !isReading(record);
-        }
-
-        @Override
-        public boolean isUnresponsive(long engine) {
-            return record.hasAttemptWithoutResponseAt(engine);
-        }
+    /** True while a write is in flight of which any byte was sent: it may have arrived and taken the state. */
+    private static boolean isWriting(RequestRecord record) {
+        return record.attempts.stream().anyMatch(a -> !a.readsPrompt && a.isInFlight() && !a.isUnsent());
     }
 
-    /** Controls the release of a state that no attempt needs. */
-    private record UnusedReleaseControl(ReservationManager manager, RequestRecord record, Reservation reservation)
-            implements ReleaseControl {
-        @Override
-        public boolean maySend() {
-            return isReleaseSafe(record);
-        }
-
-        @Override
-        public boolean isUnresponsive(long engine) {
-            return record.hasAttemptWithoutResponseAt(engine);
-        }
-
-        @Override
-        public ConnectionChoice connection() {
-            return record.hasAbortedWithoutResponseAt(reservation.engine) ? ConnectionChoice.NEW : ConnectionChoice.ANY;
-        }
-
+    /** Answers the releaser's questions, and sends the reads that wait for a release. */
+    private final class ReleaseListener implements ReservationReleaser.Listener {
         @Override
-        public void onReleased() {
-            reservation.onReleased();
-            manager.runWaitingReads(record);
+        public boolean isReleaseSafe(RequestRecord record) {
+            return ReservationManager.isReleaseSafe(record);
         }
 
         @Override
-        public void onHolderResponded() {
-            manager.onHolderResponded(record, reservation);
+        public boolean isReading(RequestRecord record) {
+            return ReservationManager.isReading(record);
         }
 
         @Override
-        public void onEnded(boolean holderResponded) {
-            if (!holderResponded || !reservation.stateMayReappear()) manager.onReleaseFinished(record, reservation);
+        public void onReleased(RequestRecord record) {
+            runWaitingReads(record);
         }
     }
 }
--- a/src/main/java/maplerail/net/ReservationCall.java
+++ b/src/main/java/maplerail/net/ReservationCall.java
@@ -44,8 +44,9 @@
     }
 
     private void onTimeout() {
+        boolean unsent = call.isUnsent();
         call.abort();
-        complete(ReservePlaceResult.UNKNOWN);
+        complete(unsent ? ReservePlaceResult.NOT_SENT : ReservePlaceResult.UNKNOWN);
     }
 
     private void complete(ReservePlaceResult answer) {
@@ -74,6 +75,6 @@
 
     @Override
     public void onFailed(boolean neverSent) {
-        complete(ReservePlaceResult.UNKNOWN);
+        complete(neverSent ? ReservePlaceResult.NOT_SENT : ReservePlaceResult.UNKNOWN);
     }
 }
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -596,9 +596,9 @@
                         new RoutingSettings.Limits(5, true, true, true, 1_000, false),
                         new RoutingSettings.Rules(8, 500, 1, 1, 1, 1, 1)),
                 List.of("a"));
-        submit("a", startAttempt(READER));
+        submit("a", startAttempt(WRITER));
         loop.runUntil(1_900);
-        applyActions(startAttempt(READER));
+        applyActions(startAttempt(WRITER));
         attemptsUnsent = true;
         loop.runUntil(1_000 + afterMs);
         assertThat(sentAttempts.get(1).observer.isNeeded()).isEqualTo(written);
@@ -979,15 +979,118 @@
         submitUnresponsiveRead();
         placeResults.get(0).accept(ReservePlaceResult.RESERVED);
         assertThat(reportedEvents).contains(new RoutingEvent.PlaceReserved(1, WRITER));
-        nextActions.add(new RoutingAction.ReservePlace(1, WRITER));
-        loop.runUntil(loop.now + 310);
-        assertThat(placeResults).hasSize(2);
-        placeResults.get(1).accept(ReservePlaceResult.NOT_RESERVED);
-        loop.runUntil(loop.now + 2_000);
+        for (int probe = 1; probe <= 8; probe++) {
+            nextActions.add(new RoutingAction.ReservePlace(1, WRITER));
+            loop.runUntil(loop.now + 310);
+            assertThat(placeResults).hasSize(probe + 1);
+            placeResults.get(probe).accept(ReservePlaceResult.NOT_RESERVED);
+        }
         assertThat(sentAttempts.get(0).aborted).isFalse();
         assertThat(releases).isEmpty();
     }
 
+    /** A read that ended right after a writer's word, unheard, left its state until the deadline. */
+    @Test
+    void aReadIsGivenUpAtTheLimitAfterItsLastConfirmation() {
+        submitUnresponsiveRead();
+        placeResults.get(0).accept(ReservePlaceResult.NOT_RESERVED);
+        loop.runUntil(2_320);
+        assertThat(releases).as("known to be in flight at 1,800").isEmpty();
+        loop.runUntil(2_331);
+        assertThat(sentAttempts.get(0).aborted).isTrue();
+        assertThat(releases).containsExactly("1/a");
+    }
+
+    /** Where no writer could be asked, a read stayed in flight to its deadline, and with it whatever was held. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aReadThatNoWriterConfirmsIsGivenUpAtTheLimit(boolean writerSilent) {
+        allowPlaceReservation();
+        submit("a", startAttempt(READER));
+        if (writerSilent) nextActions.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.runUntil(2_020);
+        assertThat(sentAttempts.get(0).aborted).as("expected to end at 1,500").isFalse();
+        loop.runUntil(2_031);
+        assertThat(placeResults).hasSize(writerSilent ? 1 : 0);
+        assertThat(sentAttempts.get(0).aborted).isTrue();
+        assertThat(releases).containsExactly("1/a");
+    }
+
+    private void submitHedgedUnresponsiveRead() {
+        submitUnresponsiveRead();
+        broker.updateEndpoints(new RoutingEvent.EndpointUpdate(
+                EndpointUpdateKind.DELTA, 3, List.of(new Endpoint(3, EndpointState.READY, 0, 0, 0, 1, 0))));
+        applyActions(new RoutingAction.StartAttempt(1, 3, 0));
+        assertThat(sentAttempts).as("the first would not outlast the second").hasSize(2);
+        assertThat(sentAttempts.get(0).aborted).isTrue();
+        assertThat(releases).containsExactly("1/a");
+    }
+
+    /** Releases waited for a read that was written and had not arrived: a writer held its place for two seconds. */
+    @ParameterizedTest
+    @CsvSource({"NO_READ_IN_FLIGHT, 2120", "UNKNOWN, 2250", ", 0"})
+    void aPlaceIsReleasedAtTheLimitAlthoughALaterReadIsInFlight(ReservePlaceResult result, double answeredMs) {
+        submitHedgedUnresponsiveRead();
+        loop.runUntil(Math.max(loop.now, answeredMs));
+        if (result != null) placeResults.get(0).accept(result);
+        loop.runUntil(2_320);
+        assertThat(sentAttempts.get(1).aborted).as("asked at 1,800").isFalse();
+        loop.runUntil(2_335);
+        assertThat(sentAttempts.get(1).aborted).isTrue();
+        assertThat(releases.subList(1, releases.size())).contains("3/a");
+    }
+
+    /** A writer that has reserved no place, or confirms the later read, is no reason to give that read up. */
+    @Test
+    void aConfirmedLaterReadKeepsItsPlace() {
+        submitHedgedUnresponsiveRead();
+        placeResults.get(0).accept(ReservePlaceResult.NOT_RESERVED);
+        loop.runUntil(2_335);
+        assertThat(sentAttempts.get(1).aborted).isFalse();
+        assertThat(releases).containsExactly("1/a");
+    }
+
+    /** A call that is still on its way may reserve a place after its request has ended. */
+    @Test
+    void aPlaceIsReleasedAfterItsRequestHasEnded() {
+        allowPlaceReservation();
+        RequestHandle handle = submit("a", startAttempt(READER));
+        nextActions.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.runUntil(1_860);
+        handle.onClientDisconnected();
+        loop.runUntil(loop.now + 50);
+        assertThat(broker.openRequests()).isZero();
+        releases.clear();
+        placeResults.get(0).accept(ReservePlaceResult.UNKNOWN);
+        assertThat(releases).containsExactly("2/a");
+        loop.runUntil(loop.now + 1_700);
+        assertThat(broker.pendingReleases()).isZero();
+    }
+
+    /** A process that ends must not leave a place that a writer reserves after that. */
+    @Test
+    void aCallForAPlaceCountsAsAPendingRelease() {
+        submitUnresponsiveRead();
+        assertThat(broker.pendingReleases()).isEqualTo(1);
+        placeResults.get(0).accept(ReservePlaceResult.NOT_SENT);
+        assertThat(broker.pendingReleases()).isZero();
+    }
+
+    /** A read that was sent past an unanswered release at the limit kept the release from being repeated. */
+    @Test
+    void aReadWaitsForARetriedReleaseOnceTheLimitIsReached() {
+        enginesAnswerReleases = false;
+        submit("a", startAttempt(READER));
+        loop.runUntil(1_945);
+        nextActions.add(startAttempt(READER));
+        loop.runUntil(2_600);
+        assertThat(sentAttempts.get(0).aborted).isTrue();
+        assertThat(sentAttempts).as("a state may be held since 1,500").hasSize(1);
+        assertThat(releaseControls.get(0).maySend()).isTrue();
+        releaseControls.get(0).onReleased();
+        assertThat(sentAttempts).hasSize(2);
+    }
+
     /** A read must not be aborted while its response is arriving. */
     @Test
     void aReadResponseRightAfterANegativeProbeIsAccepted() {
