Reservations: a read that is only slow is confirmed in time, and not replaced

Writers that took no connection were asked three times in a row, always the same one; a silent writer used up the time until the latest moment; a confirmed read beside a hedge counted as silent, as only one of the two was asked about; and a hedge replaced a read that a writer had confirmed 0.3 s before.

Change: a writer's word holds for the request, so that no read of it counts as silent meanwhile. In the last 150 ms before the latest moment another writer is asked, one that knows of a read responding at once; the policy names a writer other than the last that reserved nothing. A hedge replaces a read only if less than these 150 ms are left.

New tests: another writer is asked (core, policy).

--- a/src/main/java/maplerail/core/ReadProbe.java
+++ b/src/main/java/maplerail/core/ReadProbe.java
@@ -10,7 +10,7 @@
     private double notBeforeMs = Double.NEGATIVE_INFINITY;
     private double retryMs = RETRY_MS;
     private boolean started;
-    private boolean pending;
+    private int pending;
     private boolean failed;
     private boolean confirmedRead;
 
@@ -22,12 +22,12 @@
     /** A probe was sent to a writer. */
     void onStarted() {
         started = true;
-        pending = true;
+        pending++;
     }
 
     /** A probe ended with the writer's response or without one. */
     void onResult(ReservePlaceResult result, double nowMs) {
-        pending = false;
+        pending--;
         failed = result.isFailure();
         confirmedRead |= result.confirmsRead();
         notBeforeMs = nowMs + retryMs;
@@ -46,7 +46,7 @@
 
     /** True while a response is awaited. */
     boolean isPending() {
-        return pending;
+        return pending > 0;
     }
 
     /** True if the last probe gave no result. */
--- a/src/main/java/maplerail/core/ReadTracker.java
+++ b/src/main/java/maplerail/core/ReadTracker.java
@@ -17,8 +17,7 @@
  * <p>As long as a reader responds to any read, a read without such a proof is assumed to wait in its queue. Only if a
  * reader is silent on all connections, a writer is probed, where the settings allow it; its response shows whether the
  * read is in flight. If it is, so are reads that were written to the same reader later, and reads there take at least
- * that long. A read at a silent reader that no writer has confirmed in time is considered lost, whatever became of the
- * probes.
+ * that long. Where probing is not allowed, a read at a silent reader is considered lost.
  *
  * <p>The expected duration of a read is the recent average at its reader, measured by this gateway or reported by other
  * gateways. If the reader has no recent samples, the average over all readers is used.
@@ -67,6 +66,8 @@
         private double previousFailureMs = Double.NEGATIVE_INFINITY;
         /** The read that was last probed; null before the first probe. */
         private Attempt lastProbed;
+        /** When that read was last probed. */
+        private double lastProbeMs = Double.NEGATIVE_INFINITY;
         /** The last time at which a read was in flight by a writer's word. */
         private double confirmedAtMs = Double.NEGATIVE_INFINITY;
 
@@ -131,9 +132,11 @@
     }
 
     /** A probe of a read was sent to a writer. */
-    void onProbeStarted(Attempt read) {
+    void onProbeStarted(Attempt read, double nowMs) {
         read.probe.onStarted();
-        reader(read.engine).lastProbed = read;
+        ReaderStats reader = reader(read.engine);
+        reader.lastProbed = read;
+        reader.lastProbeMs = nowMs;
     }
 
     /** A probe that was sent at {@code askedMs} ended with the writer's response or without one. */
@@ -162,18 +165,13 @@
         return nowMs >= silentFromMs(read, nowMs) ? Optional.of(GiveUpReason.READER_SILENT) : Optional.empty();
     }
 
-    /** When the reader of a read counts as silent, if nothing is heard of the read meanwhile. */
+    /** When a read counts as lost because its reader is silent; never if a writer can tell, or after a lost read. */
     private double silentFromMs(Attempt read, double nowMs) {
         return read.record.terms.placeReservationAllowed() || followsLostRead(read)
-                ? latestReleaseMs(read, nowMs)
+                ? Double.POSITIVE_INFINITY
                 : silenceThresholdMs(read, SILENT_SHARE_OF_LIMIT, nowMs);
     }
 
-    /** When the state of a read must be released, if nothing is heard of the read meanwhile. */
-    double latestReleaseMs(Attempt read, double nowMs) {
-        return stateFromMs(read, nowMs) + limitMs(read) + ReservationManager.SLACK_MS;
-    }
-
     /**
      * The earliest time since which a read may have left a state, if it takes as long as is expected. A read that a
      * writer has confirmed may have ended right after that, however long reads are expected to take.
@@ -203,7 +201,8 @@
 
     private double probeAtMs(Attempt read, double nowMs) {
         ReaderStats reader = readers.get(read.engine);
-        double repeatMs = reader == null ? Double.NEGATIVE_INFINITY : reader.inFlightAtMs(read) + REPEAT_PROBE_MS;
+        double readerMs = reader == null ? Double.NEGATIVE_INFINITY : reader.inFlightAtMs(read);
+        double repeatMs = Math.max(readerMs, read.record.reservations.lastInFlightMs()) + REPEAT_PROBE_MS;
         return Math.max(Math.max(read.probe.notBeforeMs(), repeatMs), probeSilenceThresholdMs(read, nowMs));
     }
 
@@ -221,6 +220,13 @@
         return reader == null || !reader.hasEarlierProbePending(read);
     }
 
+    /** Since when a read is being probed that the reader serves no later than this one; negative infinity if none is. */
+    double earlierProbePendingSinceMs(Attempt read) {
+        ReaderStats reader = readers.get(read.engine);
+        boolean pending = reader != null && reader.hasEarlierProbePending(read);
+        return pending ? reader.lastProbeMs : Double.NEGATIVE_INFINITY;
+    }
+
     private double proofValidFromMs(Attempt read, double nowMs) {
         return expectedEndMs(read, nowMs) + PROOF_SHARE_OF_LIMIT * limitMs(read);
     }
--- a/src/main/java/maplerail/core/RequestEventLog.java
+++ b/src/main/java/maplerail/core/RequestEventLog.java
@@ -83,7 +83,7 @@
         writeLine(
                 "reservation overdue request=%s held_ms=%.0f holders=%s in_flight=%d answered=%b streaming=%b",
                 record.request.id(),
-                loop.nowMs() - record.reservations.limitFromMs(loop.nowMs()),
+                loop.nowMs() - record.reservations.limitFromMs(loop.nowMs(), Double.POSITIVE_INFINITY),
                 record.reservations.holders().stream().map(engineNames::apply).toList(),
                 record.attempts.stream().filter(Attempt::isInFlight).count(),
                 record.finished,
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -15,6 +15,8 @@
     final RequestReservations reservations = new RequestReservations();
     /** Reads that wait until the states that earlier reads may have left are released. */
     final List<Runnable> waitingReads = new ArrayList<>();
+    /** The read for which the policy is being asked to name a writer; null at any other time. */
+    Attempt probedRead;
     /** The timer of the next reservation deadline. */
     EventLoop.Timer reservationTimer = () -> {};
 
--- a/src/main/java/maplerail/core/RequestReservations.java
+++ b/src/main/java/maplerail/core/RequestReservations.java
@@ -17,6 +17,7 @@
     private final Map<Long, Reservation> byEngine = new LinkedHashMap<>();
     private final List<PlaceReservation> places = new ArrayList<>();
     private double lastInFlightMs = Double.NEGATIVE_INFINITY;
+    private double lastProbeRequestedMs = Double.NEGATIVE_INFINITY;
     private boolean overdue;
     private boolean expired;
 
@@ -66,11 +67,30 @@
         places.add(place);
     }
 
+    /** The routing policy is asked to name a writer for a probe. */
+    void onProbeRequested(double nowMs) {
+        lastProbeRequestedMs = nowMs;
+    }
+
+    /** When the policy was last asked to name a writer; negative infinity before the first time. */
+    double lastProbeRequestedMs() {
+        return lastProbeRequestedMs;
+    }
+
     /** A writer has not reserved the place, or it is released. */
     void removePlace(PlaceReservation place) {
         places.remove(place);
     }
 
+    /** The time of the last call for a place that has no answer yet; negative infinity if there is none. */
+    double lastUnansweredCallMs() {
+        return places.stream()
+                .filter(place -> !place.isAnswered())
+                .mapToDouble(place -> place.askedMs)
+                .max()
+                .orElse(Double.NEGATIVE_INFINITY);
+    }
+
     /** The places whose writers have responded or did not respond in time, as a copy. */
     List<PlaceReservation> answeredPlaces() {
         return places.stream().filter(PlaceReservation::isAnswered).toList();
@@ -95,15 +115,22 @@
         return unreleasedSinceMs() < Double.POSITIVE_INFINITY;
     }
 
+    /** The last time at which an attempt was known to be in flight; negative infinity if none was. */
+    double lastInFlightMs() {
+        return lastInFlightMs;
+    }
+
     /**
      * The start of the limit, for everything that may be held and of which no engine has answered a release yet;
      * infinity if there is nothing.
+     *
+     * @param readsFromMs the earliest time at which a read in flight may have left a state; infinity if there is none
      */
-    double limitFromMs(double nowMs) {
+    double limitFromMs(double nowMs, double readsFromMs) {
         double releasingMs = earliest(inPhase(Phase.RELEASING).stream()
                 .filter(reservation -> reservation.awaitsRelease(nowMs))
                 .mapToDouble(Reservation::sinceMs));
-        double sinceMs = Math.min(unreleasedSinceMs(), releasingMs);
+        double sinceMs = Math.min(readsFromMs, Math.min(unreleasedSinceMs(), releasingMs));
         return sinceMs == Double.POSITIVE_INFINITY ? sinceMs : Math.max(sinceMs, lastInFlightMs);
     }
 
--- a/src/main/java/maplerail/core/ReservationManager.java
+++ b/src/main/java/maplerail/core/ReservationManager.java
@@ -42,7 +42,16 @@
     private static final double MAX_READ_DELAY_MS = 1_500;
 
     /** The time that a read is given until the latest moment of its request; with less, it would be given up. */
-    private static final double READ_ALLOWANCE_MS = 250;
+    private static final double READ_ALLOWANCE_MS = 150;
+
+    /** How long before the latest moment writers are asked once more whether a read is in flight. */
+    private static final double LAST_PROBE_MS = 150;
+
+    /** Interval of these last probes. */
+    private static final double LAST_PROBE_INTERVAL_MS = 50;
+
+    /** How long one writer's response is awaited before the next is asked: one that knows of a read responds at once. */
+    private static final double PROBE_PATIENCE_MS = 110;
 
     /** How long a read's response may still arrive after a writer has reported that the read is not in flight. */
     private static final double LATE_READ_RESPONSE_MS = 30;
@@ -102,13 +111,9 @@
         loop.schedule(loop.nowMs() + RELEASE_BEFORE_READ_MS, () -> runDelayedRead(record, send, untilMs));
     }
 
-    /** A hedged read takes the place of a read that would be given up, and the hedged one with it, before it can end. */
+    /** A hedged read takes the place of reads that would be given up, and the hedged one with them, before it can end. */
     private void giveUpReplacedReads(RequestRecord record) {
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            double leftMs = reads.latestReleaseMs(read, loop.nowMs()) - loop.nowMs();
-            if (!read.isUnsent() && leftMs < READ_ALLOWANCE_MS) giveUp(read, GiveUpReason.REPLACED);
-        }
+        if (!hasTimeForRead(record)) giveUpReads(record, GiveUpReason.REPLACED);
     }
 
     private boolean hasTimeForRead(RequestRecord record) {
@@ -211,22 +216,20 @@
 
     /** Probes a read of a request by asking the writer that the routing policy has chosen to reserve a place. */
     void reservePlace(RequestRecord record, long writer) {
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            if (read.isUnsent() || !reads.mayProbe(read)) continue;
-            askForPlace(read, writer);
-            return;
-        }
+        Optional<Attempt> read = Optional.ofNullable(record.probedRead)
+                .or(() -> sentReads(record).stream().filter(reads::mayProbe).findFirst());
+        read.filter(Attempt::isInFlight).ifPresent(attempt -> askForPlace(attempt, writer));
     }
 
     private void askForPlace(Attempt read, long writer) {
         RequestRecord record = read.record;
+        // If one open connection was dead, others may be too: the next writer is asked on a new one.
+        ConnectionChoice connection =
+                read.probe.hasFailed() || read.probe.isPending() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
         PlaceReservation place = new PlaceReservation(writer, loop.nowMs());
         record.reservations.onPlaceAsked(place);
         pendingPlaces++;
-        // If one open connection was dead, others may be too: the next writer is asked on a new one.
-        ConnectionChoice connection = read.probe.hasFailed() ? ConnectionChoice.NEW : ConnectionChoice.ANY;
-        reads.onProbeStarted(read);
+        reads.onProbeStarted(read, loop.nowMs());
         transport.reservePlace(writer, record.request.id(), connection, result -> onPlaceResult(read, place, result));
         armTimer(record);
     }
@@ -266,16 +269,16 @@
     private void onTimer(RequestRecord record) {
         reviewReads(record);
         if (isLimitReached(record)) {
-            giveUpReads(record);
+            giveUpReads(record, GiveUpReason.LIMIT_REACHED);
             if (!isReleaseSafe(record)) releaseOverdue(record);
+        } else if (loop.nowMs() >= lastProbeMs(record)) {
+            latestRead(record).ifPresent(this::requestProbe);
         }
         review(record);
     }
 
     private void reviewReads(RequestRecord record) {
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            if (read.isUnsent()) continue;
+        for (Attempt read : sentReads(record)) {
             Optional<GiveUpReason> reason = reads.giveUpReason(read, loop.nowMs());
             if (reason.isPresent()) giveUp(read, reason.get());
             else if (reads.isProbeDue(read, loop.nowMs())) requestProbe(read);
@@ -283,14 +286,31 @@
     }
 
     private void requestProbe(Attempt read) {
+        RequestRecord record = read.record;
         read.probe.onRequested(loop.nowMs());
+        record.reservations.onProbeRequested(loop.nowMs());
+        record.probedRead = read;
         attempts.onUnresponsive(read);
+        record.probedRead = null;
     }
 
-    private void giveUpReads(RequestRecord record) {
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            if (!reading.read().isUnsent()) giveUp(reading.read(), GiveUpReason.LIMIT_REACHED);
-        }
+    /** When a writer is to be asked once more before reads are given up at the latest moment; infinity if never. */
+    private double lastProbeMs(RequestRecord record) {
+        Optional<Attempt> read = latestRead(record);
+        if (!record.terms.placeReservationAllowed() || read.isEmpty()) return Double.POSITIVE_INFINITY;
+        double repeatMs = record.reservations.lastProbeRequestedMs() + LAST_PROBE_INTERVAL_MS;
+        double unansweredMs =
+                Math.max(record.reservations.lastUnansweredCallMs(), reads.earlierProbePendingSinceMs(read.get()));
+        double patientMs = Math.max(repeatMs, unansweredMs + PROBE_PATIENCE_MS);
+        return Math.max(latestReleaseMs(record) - LAST_PROBE_MS, patientMs);
+    }
+
+    private static Optional<Attempt> latestRead(RequestRecord record) {
+        return sentReads(record).stream().reduce((first, last) -> last);
+    }
+
+    private void giveUpReads(RequestRecord record, GiveUpReason reason) {
+        sentReads(record).forEach(read -> giveUp(read, reason));
     }
 
     private void giveUp(Attempt read, GiveUpReason reason) {
@@ -301,7 +321,11 @@
     /** The latest moment at which a release must be sent for a request; infinity if nothing may be held for it. */
     private double latestReleaseMs(RequestRecord record) {
         double limitMs = record.terms.reservationLimitMs();
-        return record.reservations.limitFromMs(loop.nowMs())
+        double readsFromMs = sentReads(record).stream()
+                .mapToDouble(read -> reads.stateFromMs(read, loop.nowMs()))
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+        return record.reservations.limitFromMs(loop.nowMs(), readsFromMs)
                 + (isWriting(record) ? IN_USE_SHARE_OF_LIMIT * limitMs : limitMs + SLACK_MS);
     }
 
@@ -331,24 +355,31 @@
     private void armTimer(RequestRecord record) {
         record.reservationTimer.cancel();
         double nowMs = loop.nowMs();
-        double nextMs = Double.POSITIVE_INFINITY;
-        for (Reservation reading : record.reservations.inPhase(Phase.READING)) {
-            Attempt read = reading.read();
-            if (!read.isUnsent()) nextMs = Math.min(nextMs, reads.nextAssessmentMs(read, nowMs));
-        }
+        double nextMs = sentReads(record).stream()
+                .mapToDouble(read -> reads.nextAssessmentMs(read, nowMs))
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
         if (record.reservations.mayHoldUnreleased() || isReading(record)) {
             double latestMs = latestReleaseMs(record);
             nextMs = Math.min(nextMs, latestMs > nowMs ? latestMs : nowMs + RECHECK_MS);
+            nextMs = Math.min(nextMs, Math.max(lastProbeMs(record), nowMs + TIMER_TOLERANCE_MS));
         }
         if (nextMs < Double.POSITIVE_INFINITY) record.reservationTimer = loop.schedule(nextMs, () -> onTimer(record));
     }
 
     // ---- Attempts in flight ----
 
+    /** The reads in flight of which any byte was sent, oldest first. */
+    private static List<Attempt> sentReads(RequestRecord record) {
+        return record.reservations.inPhase(Phase.READING).stream()
+                .map(Reservation::read)
+                .filter(read -> !read.isUnsent())
+                .toList();
+    }
+
     /** True while a read is in flight of which any byte was sent: a release would undo it. */
     private static boolean isReading(RequestRecord record) {
-        return record.reservations.inPhase(Phase.READING).stream()
-                .anyMatch(reading -> !reading.read().isUnsent());
+        return !sentReads(record).isEmpty();
     }
 
     /** True if no attempt needs the reserved states, so that a release is safe. */
--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -213,6 +213,8 @@
         EngineState stateHolder;
         /** The writer that has reserved a place for it, to which the reader moves the state unprompted. */
         EngineState reservedWriter;
+        /** The writer that was last asked for a place and has not reserved it; the next is another. */
+        EngineState askedWriter;
         boolean mayHoldState; // whether any engine may hold a state for it
         double reservedMs, firstTokenMs; // start of the state's reservation; time of the first token
 
@@ -324,15 +326,21 @@
             AttemptState attempt = findInFlight(read.requestId(), read.attempt());
             if (attempt == null || !attempt.request.limits.placeReservations()) return;
             RequestState request = attempt.request;
-            EngineState writer = request.reservedWriter != null && request.reservedWriter.isReady()
-                    ? request.reservedWriter : selectWriter(request, null, attempt.engine);
-            if (writer != null) actions.add(new RoutingAction.ReservePlace(request.id, writer.id));
+            boolean repeat = request.reservedWriter != null && request.reservedWriter.isReady()
+                    && request.reservedWriter != request.askedWriter;
+            EngineState writer = repeat
+                    ? request.reservedWriter : selectWriter(request, request.askedWriter, attempt.engine);
+            if (writer == null) return;
+            request.askedWriter = writer;
+            actions.add(new RoutingAction.ReservePlace(request.id, writer.id));
         }
 
         @Override
         public void onPlaceReserved(RoutingEvent.PlaceReserved place) {
             RequestState request = requests.get(place.requestId());
-            if (request != null) request.reservedWriter = engines.get(place.engine());
+            if (request == null) return;
+            request.reservedWriter = engines.get(place.engine());
+            request.askedWriter = null;
         }
 
         @Override
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -1016,8 +1016,23 @@
         assertThat(releases).containsExactly("1/a");
     }
 
+    /** One writer that was silent, or took no connection, cost a slow read its work. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anotherWriterIsAskedBeforeAReadIsGivenUp(boolean refused) {
+        submitUnresponsiveRead();
+        if (refused) placeResults.get(0).accept(ReservePlaceResult.NOT_SENT);
+        nextActions.add(new RoutingAction.ReservePlace(1, WRITER));
+        loop.runUntil(1_915);
+        assertThat(placeResults).hasSize(2);
+        placeResults.get(1).accept(ReservePlaceResult.NOT_RESERVED);
+        loop.runUntil(2_100);
+        assertThat(sentAttempts.get(0).aborted).isFalse();
+    }
+
     private void submitHedgedUnresponsiveRead() {
         submitUnresponsiveRead();
+        loop.runUntil(1_890);
         broker.updateEndpoints(new RoutingEvent.EndpointUpdate(
                 EndpointUpdateKind.DELTA, 3, List.of(new Endpoint(3, EndpointState.READY, 0, 0, 0, 1, 0))));
         applyActions(new RoutingAction.StartAttempt(1, 3, 0));
--- a/src/test/java/maplerail/routing/d2lpm/PlaceReservationTest.java
+++ b/src/test/java/maplerail/routing/d2lpm/PlaceReservationTest.java
@@ -36,6 +36,20 @@
         }
     }
 
+    /** One writer that takes no connection was asked again and again. */
+    @Test
+    void anotherWriterIsAskedIfTheLastOneHasReservedNoPlace() {
+        PolicyHarness gateway = gateway(true);
+        gateway.arrive(1);
+        long last = -1;
+        for (int probe = 0; probe < 4; probe++) {
+            gateway.report(new RoutingEvent.ReadOverdue(1, 0));
+            long asked = ((ReservePlace) gateway.lastActions.get(0)).engine();
+            assertThat(asked).isNotEqualTo(last);
+            last = asked;
+        }
+    }
+
     /** Requesting a place is a violation of the protocol if the settings don't permit it. */
     @Test
     void noPlaceIsRequestedIfTheSettingsForbidIt() {
