Reservations: a place reserved after the write was sent is released when the stream begins

Cause: when a response begins, the answered calls for places were dropped from the book, as the writer takes state and places. But a writer that answers 204 may keep its place up to the answer: here the read's answer came while the call was under way, the write took the state, then the place was kept and the call answered, then the first event came. The book took a place that was answered before the stream for one that was there before the write.

Change: only a place whose call was answered before the write was sent goes with its stream; any other is released.

BrokerTest.onlyAPlaceReservedBeforeTheWriteGoesWithItsStream fails on the code before and passes.

--- a/src/main/java/maplerail/core/PlaceReservation.java
+++ b/src/main/java/maplerail/core/PlaceReservation.java
@@ -6,7 +6,7 @@
     /** When the writer was asked, which is the earliest time at which it may hold the place. */
     final double askedMs;
 
-    private boolean answered;
+    private double answeredMs = Double.POSITIVE_INFINITY;
     private boolean mayAppearLater;
 
     PlaceReservation(long writer, double askedMs) {
@@ -15,14 +15,19 @@
     }
 
     /** The call has ended; without a response the writer may still receive it. */
-    void onResult(ReservePlaceResult result) {
-        answered = true;
+    void onResult(ReservePlaceResult result, double nowMs) {
+        answeredMs = nowMs;
         mayAppearLater = result == ReservePlaceResult.UNKNOWN;
     }
 
     /** False while the call is in flight: a release may overtake it. */
     boolean isAnswered() {
-        return answered;
+        return answeredMs < Double.POSITIVE_INFINITY;
+    }
+
+    /** True if a write that was sent at the given time has taken the place, or given it up, once its response begins. */
+    boolean isTakenByWrite(double sentMs) {
+        return answeredMs <= sentMs && !mayAppearLater;
     }
 
     /** True if the writer may reserve the place after a release, as it has not responded to the call. */
--- a/src/main/java/maplerail/core/ReservationManager.java
+++ b/src/main/java/maplerail/core/ReservationManager.java
@@ -197,12 +197,12 @@
         };
     }
 
-    /** The response streams: its writer has taken the state, and with it the places that writers had reserved. */
+    /** The response streams: its writer has taken the state, and with it the places that were reserved by then. */
     void onStreamStarted(RequestRecord record) {
         RequestReservations reservations = record.reservations;
         reservations.inPhase(Phase.RESERVED).forEach(reservations::remove);
         for (PlaceReservation place : reservations.answeredPlaces()) {
-            if (!place.mayAppearLater()) reservations.removePlace(place);
+            if (place.isTakenByWrite(record.winner.sentMs)) reservations.removePlace(place);
         }
         review(record);
     }
@@ -239,7 +239,7 @@
         pendingPlaces--;
         events.placeAnswered(read, place.writer, result, loop.nowMs() - place.askedMs);
         reads.onProbeResult(read, result, place.askedMs, loop.nowMs());
-        place.onResult(result);
+        place.onResult(result, loop.nowMs());
         if (!result.mayHoldPlace()) record.reservations.removePlace(place);
         if (result.confirmsRead()) record.reservations.onKnownInFlight(place.askedMs);
         if (result == ReservePlaceResult.RESERVED && read.isInFlight()) attempts.onPlaceReserved(record, place.writer);
--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -1082,6 +1082,21 @@
         assertThat(broker.pendingReleases()).isZero();
     }
 
+    /** A place that was reserved after the write had taken the state stayed reserved when the response began. */
+    @ParameterizedTest
+    @CsvSource({"true, 0", "false, 1"})
+    void onlyAPlaceReservedBeforeTheWriteGoesWithItsStream(boolean before, int released) {
+        submitUnresponsiveRead();
+        if (before) placeResults.get(0).accept(ReservePlaceResult.RESERVED);
+        loop.runUntil(loop.now + 1);
+        nextActions.add(startAttempt(WRITER));
+        sentAttempts.get(0).observer.onEnded(AttemptOutcome.PROMPT_READ, 0);
+        loop.runUntil(loop.now + 1);
+        if (!before) placeResults.get(0).accept(ReservePlaceResult.NO_READ_IN_FLIGHT);
+        sentAttempts.get(1).observer.onEvent(new byte[1]);
+        assertThat(releases).hasSize(released);
+    }
+
     /** A process that ends must not leave a place that a writer reserves after that. */
     @Test
     void aCallForAPlaceCountsAsAPendingRelease() {
