--- /dev/null
+++ b/src/test/java/maplerail/soak/SoakClient.java
@@ -0,0 +1,148 @@
+package maplerail.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.function.BooleanSupplier;
+import maplerail.support.KeptConnection;
+import maplerail.support.World;
+
+/** A client that sends one request after another on a connection that it keeps, and notes what becomes of each. */
+final class SoakClient {
+    /** How long a client waits beyond a request's time before it takes it for lost. */
+    private static final long PATIENCE_MS = 1_500;
+
+    private final int port;
+    private final Queue<Sent> log;
+    private final BooleanSupplier mayConnect;
+    private Socket socket;
+    private int onConnection;
+
+    /** A request and what its client saw of it; times are of {@link KeptConnection#nowMs}, NaN for never. */
+    static final class Sent {
+        final String id;
+        final boolean repeatable;
+        final double sentMs;
+        final double deadlineMs;
+        final boolean onKeptConnection;
+        volatile double headMs = Double.NaN;
+        volatile double endedMs = Double.NaN;
+        volatile double leftMs = Double.NaN;
+        volatile int status;
+
+        Sent(String id, boolean repeatable, double sentMs, double deadlineMs, boolean onKeptConnection) {
+            this.id = id;
+            this.repeatable = repeatable;
+            this.sentMs = sentMs;
+            this.deadlineMs = deadlineMs;
+            this.onKeptConnection = onKeptConnection;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT,
+                    "%s sent %.0f waits %.0f head after %.0f status %d ended after %.0f left after %.0f kept %b",
+                    id,
+                    sentMs,
+                    deadlineMs,
+                    headMs - sentMs,
+                    status,
+                    endedMs - sentMs,
+                    leftMs - sentMs,
+                    onKeptConnection);
+        }
+    }
+
+    /** A client of a gateway; it opens connections only while {@code mayConnect}, as its front decides. */
+    SoakClient(int port, Queue<Sent> log, BooleanSupplier mayConnect) {
+        this.port = port;
+        this.log = log;
+        this.mayConnect = mayConnect;
+    }
+
+    /** Sends a request and waits for its end, or leaves after {@code leaveAfterMs}; false once the front sends it elsewhere or nobody listens. */
+    boolean request(String id, boolean repeatable, double deadlineMs, long leaveAfterMs) {
+        try {
+            if (socket == null && !mayConnect.getAsBoolean()) return false;
+            if (socket == null) connect();
+        } catch (ConnectException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+        Sent sent = new Sent(id, repeatable, KeptConnection.nowMs(), deadlineMs, onConnection > 0);
+        try {
+            String kind = repeatable ? "lookup" : "repair-order";
+            String text = World.request(id, kind, String.format(Locale.ROOT, "%.3f", deadlineMs / 1_000));
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            log.add(sent);
+            boolean leaves = leaveAfterMs > 0;
+            socket.setSoTimeout((int) (leaves ? leaveAfterMs : deadlineMs + PATIENCE_MS));
+            if (!readAnswer(sent)) disconnect();
+        } catch (SocketTimeoutException e) {
+            if (leaveAfterMs > 0) sent.leftMs = KeptConnection.nowMs();
+            disconnect();
+        } catch (IOException e) {
+            sent.endedMs = KeptConnection.nowMs();
+            disconnect();
+        }
+        return true;
+    }
+
+    private void connect() throws IOException {
+        socket = new Socket("127.0.0.1", port);
+        socket.setTcpNoDelay(true);
+        onConnection = 0;
+    }
+
+    void disconnect() {
+        try {
+            if (socket != null) socket.close();
+        } catch (IOException e) {
+            return; // it was broken
+        } finally {
+            socket = null;
+        }
+    }
+
+    /** Reads an answer to its end; false if the connection is over. */
+    private boolean readAnswer(Sent sent) throws IOException {
+        InputStream in = socket.getInputStream();
+        String head = readUpTo(in, "\r\n\r\n");
+        if (!head.endsWith("\r\n\r\n")) {
+            sent.endedMs = KeptConnection.nowMs();
+            return false;
+        }
+        sent.headMs = KeptConnection.nowMs();
+        sent.status = Integer.parseInt(head.split(" ")[1]);
+        String lower = head.toLowerCase(Locale.ROOT);
+        boolean complete = true;
+        if (lower.contains("transfer-encoding: chunked"))
+            complete = readUpTo(in, "0\r\n\r\n").endsWith("0\r\n\r\n");
+        else if (lower.contains("content-length: ")) in.readNBytes(lengthOf(lower));
+        sent.endedMs = KeptConnection.nowMs();
+        onConnection++;
+        return complete && !lower.contains("connection: close");
+    }
+
+    private static int lengthOf(String lowerHead) {
+        return Integer.parseInt(lowerHead.split("content-length: ")[1].split("\r")[0]);
+    }
+
+    private static String readUpTo(InputStream in, String end) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (int c = in.read(); c >= 0; c = in.read()) {
+            text.append((char) c);
+            if (c == '\n'
+                    && text.length() >= end.length()
+                    && text.substring(text.length() - end.length()).equals(end)) break;
+        }
+        return text.toString();
+    }
+}
--- a/src/test/java/maplerail/support/StandInFleet.java
+++ b/src/test/java/maplerail/support/StandInFleet.java
@@ -25,6 +25,7 @@
     private static final long NO_READ_MS = 300; // after which a writer that was asked for a place knows of no read
 
     public final StateLedger ledger = new StateLedger();
+    public final EngineLog log = new EngineLog();
     public final List<Engine> readers = new ArrayList<>();
     public final List<Engine> writers = new ArrayList<>();
     public volatile boolean writersDecline;
@@ -36,6 +37,8 @@
     public volatile long slowReadMs;
 
     public volatile int slowReadOneIn = 1;
+    /** How long a stream may last, in milliseconds; each has its time by the request's id. */
+    public volatile long maxStreamMs;
 
     private final SplittableRandom random;
     private final FaultNet net;
@@ -80,15 +83,19 @@
 
     /** One engine and the link to it. */
     public final class Engine {
+        public final String name;
+        public final String kind;
         public final FaultNet.Link link;
         private final StandIn server;
         private final Set<Read> runningReads = ConcurrentHashMap.newKeySet();
         private boolean hung;
 
         private Engine(String kind, int number, World world) throws IOException {
+            name = kind + number;
+            this.kind = kind;
             server = new StandIn(kind.equals("prefill") ? this::serveReader : this::serveWriter);
-            link = net.link(kind + number, server.socketAddress());
-            world.engine(kind + number, kind, link.address());
+            link = net.link(name, server.socketAddress());
+            world.engine(name, kind, link.address());
         }
 
         /** Does nothing more until {@link #goOn}, though its machine still takes connections and bytes. */
@@ -116,6 +123,7 @@
             awaitRunning();
             if (release(exchange)) return;
             String id = exchange.headers.get("req-id");
+            log.onAttempt(id);
             Read read = new Read(id);
             ledger.attemptBegins(id);
             runningReads.add(read);
@@ -144,6 +152,7 @@
                 exchange.reply(503, "", "Srv-Declined: 1");
                 return;
             }
+            log.onAttempt(id);
             ledger.attemptBegins(id);
             boolean held = ledger.take(id);
             ledger.attemptEnds(id);
@@ -151,7 +160,12 @@
                 exchange.reply(410, "", "Srv-Declined: 1");
                 return;
             }
+            log.onExecution(id);
             exchange.stream();
+            if (maxStreamMs > 0) {
+                exchange.chunk("data: {\"a\":1}\n\n");
+                TimeUnit.MILLISECONDS.sleep(Math.floorMod(id.hashCode(), maxStreamMs));
+            }
             exchange.chunk("data: [DONE]\n\n");
             exchange.last();
         }
--- a/src/test/java/maplerail/support/StateLedger.java
+++ b/src/test/java/maplerail/support/StateLedger.java
@@ -94,25 +94,22 @@
         return placesKept;
     }
 
-    /** The longest time for which a state was held, of each request for which that is above a limit. */
-    public synchronized Map<String, Long> statesHeldLongerThan(double limitMs) {
-        return above(limitMs, entry -> entry.longestStateMs);
-    }
-
-    /** The longest time for which a place was held, of each request for which that is above a limit. */
-    public synchronized Map<String, Long> placesHeldLongerThan(double limitMs) {
-        return above(limitMs, entry -> entry.longestPlaceMs);
-    }
-
     /** The longest time for which a state or a place was held, of each request for which that is above a limit. */
     public synchronized Map<String, Long> heldLongerThan(double limitMs) {
-        return above(limitMs, entry -> Math.max(entry.longestStateMs, entry.longestPlaceMs));
+        return heldLongerThan(limitMs, Double.NaN);
+    }
+
+    /** The same; what is held still counts up to {@code untilMs} at most, unless that is NaN. */
+    public synchronized Map<String, Long> heldLongerThan(double limitMs, double untilMs) {
+        double nowMs = KeptConnection.nowMs();
+        double lastMs = Double.isNaN(untilMs) ? nowMs : Math.min(nowMs, untilMs);
+        return above(lastMs, limitMs, entry -> Math.max(entry.longestStateMs, entry.longestPlaceMs));
     }
 
-    private Map<String, Long> above(double limitMs, ToDoubleFunction<Entry> longestMs) {
+    private Map<String, Long> above(double lastMs, double limitMs, ToDoubleFunction<Entry> longestMs) {
         Map<String, Long> late = new TreeMap<>();
         entries.forEach((id, entry) -> {
-            entry.noteHeld(KeptConnection.nowMs());
+            entry.noteHeld(lastMs);
             double heldMs = longestMs.applyAsDouble(entry);
             if (heldMs > limitMs) late.put(id, Math.round(heldMs));
         });
--- a/src/test/java/maplerail/support/World.java
+++ b/src/test/java/maplerail/support/World.java
@@ -130,7 +130,8 @@
         return engine(host, kind, at, "in_service");
     }
 
-    private synchronized World engine(String host, String kind, InetSocketAddress at, String health) {
+    /** An engine of a given health at an address; told anew if it is known. */
+    public synchronized World engine(String host, String kind, InetSocketAddress at, String health) {
         hosts.put(
                 host,
                 "{\"host\":\"" + host + "\",\"dial\":\"127.0.0.1:" + at.getPort()
