--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -613,6 +613,8 @@
                 for (byte[] chunk = readChunk(); chunk != null; chunk = readChunk()) body.write(chunk);
             } else if (head.headers.containsKey("Content-Length")) {
                 body.write(in.readNBytes(Integer.parseInt(head.headers.get("Content-Length"))));
+            } else if (head.status != 202 && head.status != 204) {
+                body.write(in.readAllBytes()); // up to the connection's end
             }
             return body.toString(StandardCharsets.UTF_8);
         }
