--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/maplerail.jar ] || [ ! -f target/review-2/HalfMessages.class ]; then
+if [ ! -f target/maplerail.jar ] || [ ! -f target/review-2/IdleSockets.class ]; then
   echo "build first: the build line of deploy/balancer.toml, then review/build-2.sh"
   exit 2
 fi
-java -XX:+UseSerialGC -Xmx256m -cp target/review-2 HalfMessages review/9
+java -XX:+UseSerialGC -Xmx256m -cp target/review-2 IdleSockets review/9
 case $? in
   40) exit 0 ;;
   41) exit 1 ;;
--- a/review/standins-2/IdleSockets.java
+++ b/review/standins-2/IdleSockets.java
@@ -3,7 +3,7 @@
 
 /** Idle WebSocket clients fill the tool front's connections; another client asks. */
 final class IdleSockets {
-    private static final int IDLE_CLIENTS = 110;
+    private static final int IDLE_CLIENTS = 101;
 
     public static void main(String[] args) {
         Kit.run(args, kit -> {
@@ -18,17 +18,17 @@
             if (kit.trouble) {
                 for (int i = 0; i < IDLE_CLIENTS; i++) {
                     try {
-                        idle.add(kit.new WebSocket(gateway.rpcPort(), "cyngor-bryniau", 1_000));
+                        idle.add(kit.new WebSocket(gateway.rpcPort(), "cyngor-bryniau", 2_000));
                     } catch (java.io.IOException e) {
-                        kit.say("WebSocket " + (i + 1) + ": " + e);
-                        if (i > 103) break;
+                        kit.say("WebSocket " + (i + 1) + " is not opened: " + e);
+                        break;
                     }
                 }
                 kit.say(idle.size() + " other clients have opened a WebSocket and say nothing");
                 kit.sleep(3_000);
             }
             double sentMs = kit.nowMs();
-            Kit.Conn conn = client.post(Kit.toolCall(1, "columns.find", "{\"column\":17}"), 45_000);
+            Kit.Conn conn = client.post(Kit.toolCall(1, "columns.find", "{\"column\":17}"), 30_000);
             kit.say("client calls columns.find (deadline 3 s)");
             try {
                 Kit.Head head = conn.readHead();
