--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -d target/review-2 review/standins-2/*.java
+javac -encoding UTF-8 -d target/review-2 review/standins-2/*.java
