--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,8 +5,16 @@
   echo "build first: the build line of deploy/balancer.toml, then review/build-2.sh"
   exit 2
 fi
-java -XX:+UseSerialGC -Xmx256m -cp target/review-2 CrossedClose review/6
-case $? in
+java -XX:+UseSerialGC -Xmx256m -cp target/review-2 CrossedClose review/6 &
+child=$!
+trap 'kill "$child" 2>/dev/null' HUP INT TERM # it ends what it started
+wait "$child"
+code=$?
+while kill -0 "$child" 2>/dev/null; do
+  wait "$child"
+  code=$?
+done
+case $code in
   40) exit 0 ;;
   41) exit 1 ;;
   *) exit 2 ;;
