Fronts: a file for WebSocketReceiver, and BodyBuffer for what collects a body

WebSocketReceiver leaves RpcFront as it was. BodyBuffer is the part of BodyReader that keeps pieces within a size limit and the memory budget, so that messages over a WebSocket can use the same.

Measured: the tests of both fronts pass (RequestFramingTest, PlatformTest, Http*Test, Tool*Test, Disconnect*Test, ConnectionManagerTest, ArchitectureTest).

--- a/src/main/java/maplerail/front/BodyReader.java
+++ b/src/main/java/maplerail/front/BodyReader.java
@@ -6,8 +6,6 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import maplerail.core.MemoryBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,17 +37,12 @@
     }
 
     private final HttpServerExchange exchange;
-    private final int maxBytes;
-    private final MemoryBudget.Reservation memory;
+    private final BodyBuffer body;
     private final Listener listener;
-    private final List<byte[]> pieces = new ArrayList<>();
-    private int receivedBytes;
-    private boolean hasMemory = true;
 
-    private BodyReader(HttpServerExchange exchange, int maxBytes, MemoryBudget.Reservation memory, Listener listener) {
+    private BodyReader(HttpServerExchange exchange, BodyBuffer body, Listener listener) {
         this.exchange = exchange;
-        this.maxBytes = maxBytes;
-        this.memory = memory;
+        this.body = body;
         this.listener = listener;
     }
 
@@ -62,7 +55,7 @@
     public static void read(
             HttpServerExchange exchange, int maxBytes, MemoryBudget.Reservation memory, Listener listener) {
         StreamSourceChannel channel = exchange.getRequestChannel();
-        BodyReader reader = new BodyReader(exchange, maxBytes, memory, listener);
+        BodyReader reader = new BodyReader(exchange, new BodyBuffer(maxBytes, memory), listener);
         channel.getReadSetter().set(reader::read);
         reader.read(channel);
     }
@@ -78,7 +71,7 @@
                     return;
                 }
                 if (count < 0) break;
-                add(buffer.flip());
+                body.add(buffer.flip());
             }
         } catch (RequestTooBigException e) {
             end(channel, listener::onTooLarge);
@@ -95,44 +88,20 @@
         complete(channel);
     }
 
-    private void add(ByteBuffer piece) {
-        receivedBytes += piece.remaining();
-        hasMemory = hasMemory && (receivedBytes > maxBytes || memory.tryGrow(piece.remaining()));
-        if (!hasMemory || receivedBytes > maxBytes) {
-            drop();
-            return;
-        }
-        byte[] bytes = new byte[piece.remaining()];
-        piece.get(bytes);
-        pieces.add(bytes);
-    }
-
-    private void drop() {
-        pieces.clear();
-        memory.release();
-    }
-
     private void complete(StreamSourceChannel channel) {
-        if (receivedBytes > maxBytes) {
-            end(channel, listener::onTooLarge);
-        } else if (!hasMemory) {
-            end(channel, listener::onNoMemory);
-        } else {
-            byte[] body = join();
-            end(channel, () -> listener.onBody(body));
+        switch (body.state()) {
+            case TOO_LARGE -> end(channel, listener::onTooLarge);
+            case NO_MEMORY -> end(channel, listener::onNoMemory);
+            case COLLECTING -> {
+                byte[] received = body.join();
+                end(channel, () -> listener.onBody(received));
+            }
         }
     }
 
-    private byte[] join() {
-        if (pieces.size() == 1) return pieces.get(0);
-        ByteBuffer body = ByteBuffer.allocate(receivedBytes);
-        pieces.forEach(body::put);
-        return body.array();
-    }
-
     private void end(StreamSourceChannel channel, Runnable result) {
         channel.suspendReads();
-        drop();
+        body.drop();
         exchange.dispatch(SameThreadExecutor.INSTANCE, result);
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -5,9 +5,6 @@
 import io.undertow.util.Headers;
 import io.undertow.websockets.WebSocketConnectionCallback;
 import io.undertow.websockets.WebSocketProtocolHandshakeHandler;
-import io.undertow.websockets.core.AbstractReceiveListener;
-import io.undertow.websockets.core.BufferedBinaryMessage;
-import io.undertow.websockets.core.BufferedTextMessage;
 import io.undertow.websockets.core.CloseMessage;
 import io.undertow.websockets.core.WebSocketChannel;
 import io.undertow.websockets.core.WebSockets;
@@ -23,19 +20,17 @@
 import maplerail.core.EventLoop;
 import maplerail.core.Lifecycle;
 import maplerail.core.Lifecycle.Phase;
-import maplerail.core.MemoryBudget;
 import maplerail.core.RequestHandle;
 import maplerail.front.ConnectionManager;
 import maplerail.front.DisconnectDetector;
 import maplerail.metrics.Metrics;
-import org.xnio.IoUtils;
 
 /**
  * JSON-RPC 2.0 for the teams of the operator's configuration: over a WebSocket with one message per text frame, or over
  * HTTP with event streams.
  */
 public final class RpcFront implements HttpHandler, Session.Dispatcher {
-    private static final int MAX_MESSAGE_BYTES = 256 * 1024;
+    static final int MAX_MESSAGE_BYTES = 256 * 1024;
 
     private final ToolsConfig config;
     private final ToolMethods toolMethods;
@@ -106,100 +101,13 @@
         channel.addCloseTask(closed -> {
             sessions.remove(session);
             receivers.remove(closed);
-            receiver.memory.release();
+            receiver.releaseMemory();
             session.close();
         });
         channel.getReceiveSetter().set(receiver);
         channel.resumeReceives();
     }
 
-    /** Receives a WebSocket's messages when the loop reports it readable, or on demand. */
-    private static final class WebSocketReceiver extends AbstractReceiveListener {
-        private static final int MAX_READS_PER_POLL = 64;
-        private static final double CLOSE_TIMEOUT_MS = 1_000; // for the client to respond to a close frame
-
-        private final WebSocketChannel channel;
-        private final Session session;
-        private final BooleanSupplier isDisconnected;
-        private final MessageSender sender;
-        /** The memory of a message that is being received. */
-        private final MemoryBudget.Reservation memory;
-
-        private boolean receiving;
-        private boolean closing;
-        private int receivedMessages;
-
-        WebSocketReceiver(
-                WebSocketChannel channel,
-                Session session,
-                BooleanSupplier isDisconnected,
-                MemoryBudget.Reservation memory) {
-            this.memory = memory;
-            this.channel = channel;
-            this.session = session;
-            this.isDisconnected = isDisconnected;
-            this.sender = new WebSocketSender(channel, session, this::receivePending);
-        }
-
-        @Override
-        public void handleEvent(WebSocketChannel from) {
-            receiving = true;
-            try {
-                super.handleEvent(from);
-            } finally {
-                receiving = false;
-            }
-        }
-
-        void closeIfIdle(EventLoop loop) {
-            if (closing || session.openRequests() > 0) return;
-            receivePending();
-            if (session.openRequests() > 0) return;
-            closing = true;
-            WebSockets.sendClose(new CloseMessage(CloseMessage.GOING_AWAY, "draining"), channel, null);
-            loop.schedule(loop.nowMs() + CLOSE_TIMEOUT_MS, () -> IoUtils.safeClose(channel));
-        }
-
-        private void receivePending() {
-            if (isDisconnected.getAsBoolean()) {
-                IoUtils.safeClose(channel);
-                session.close();
-            }
-            // Not while a message is being received: messages must not be processed within one another.
-            for (int i = 0, before = -1; !receiving && before != receivedMessages && i < MAX_READS_PER_POLL; i++) {
-                before = receivedMessages;
-                handleEvent(channel);
-            }
-        }
-
-        /** Called when a message begins: reserves all that it may hold. A longer one ends the connection (1009). */
-        @Override
-        protected long getMaxTextBufferSize() {
-            memory.release();
-            long maxBytes = Math.max(1, Math.min(MAX_MESSAGE_BYTES, memory.maxBytes()));
-            memory.grow(maxBytes);
-            return maxBytes;
-        }
-
-        @Override
-        protected long getMaxBinaryBufferSize() {
-            return 0;
-        }
-
-        @Override
-        protected void onFullTextMessage(WebSocketChannel from, BufferedTextMessage message) {
-            receivedMessages++;
-            memory.release();
-            session.receive(message.getData(), sender);
-        }
-
-        @Override
-        protected void onFullBinaryMessage(WebSocketChannel from, BufferedBinaryMessage message) {
-            message.getData().free();
-            WebSockets.sendClose(new CloseMessage(CloseMessage.WRONG_CODE, "text frames only"), from, null);
-        }
-    }
-
     @Override
     public RequestHandle start(int team, RpcMessage message, Session.PendingRequest pending) {
         switch (message.method()) {
