Second front: drop what arrives on a WebSocket after its close frame was sent

Cause: after a close frame the receiver went on to read and gave each message to its session. In a drain that lasts, calls are refused by then; in one that is taken back they are not. A binary frame was answered with a close frame without any mark, so that orders behind it ran as well.

--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -5,9 +5,7 @@
 import io.undertow.util.Headers;
 import io.undertow.websockets.WebSocketConnectionCallback;
 import io.undertow.websockets.WebSocketProtocolHandshakeHandler;
-import io.undertow.websockets.core.CloseMessage;
 import io.undertow.websockets.core.WebSocketChannel;
-import io.undertow.websockets.core.WebSockets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,6 +38,7 @@
     private final Set<Session> sessions = new HashSet<>();
     private final Map<WebSocketChannel, WebSocketReceiver> receivers = new HashMap<>();
     private final EventLoop loop;
+    private final Metrics metrics;
     private boolean accepting = true;
     private ConnectionManager connections;
 
@@ -57,6 +56,7 @@
         this.answerMethods = new AnswerMethods(platformBroker, names);
         this.lifecycle = lifecycle;
         this.loop = loop;
+        this.metrics = metrics;
         this.httpSessions = new HttpSessions(config, this, loop, MAX_MESSAGE_BYTES, metrics);
     }
 
@@ -95,7 +95,7 @@
     private void openWebSocket(WebSocketChannel channel, int team, BooleanSupplier isDisconnected) {
         Session session = new Session(team, this, config.handshake());
         WebSocketReceiver receiver =
-                new WebSocketReceiver(channel, session, isDisconnected, connections.reserveMemory());
+                new WebSocketReceiver(channel, session, isDisconnected, connections.reserveMemory(), loop, metrics);
         sessions.add(session);
         receivers.put(channel, receiver);
         channel.addCloseTask(closed -> {
@@ -149,13 +149,11 @@
      * request is lost; a WebSocket whose client does not respond to the close frame is cut off.
      */
     public void closeIdleWebSockets() {
-        for (WebSocketReceiver receiver : List.copyOf(receivers.values())) receiver.closeIfIdle(loop);
+        for (WebSocketReceiver receiver : List.copyOf(receivers.values())) receiver.closeIfIdle("draining");
     }
 
-    /** Sends a close frame to all WebSocket clients, for a process that is about to stop. */
+    /** Closes the WebSockets that have no open requests, for a process that is about to stop. */
     public void close() {
-        for (WebSocketChannel channel : List.copyOf(receivers.keySet())) {
-            WebSockets.sendClose(new CloseMessage(CloseMessage.GOING_AWAY, "stopping"), channel, null);
-        }
+        for (WebSocketReceiver receiver : List.copyOf(receivers.values())) receiver.closeIfIdle("stopping");
     }
 }
