Second front: half messages hold only what has arrived, for 2.5 s, and end no call

Cause: getMaxTextBufferSize reserved the largest message as soon as one began; a message on a WebSocket had no time limit; and what concerned one message ended the connection at once with all calls open on it.

Fix: IncomingMessage reserves what arrives, 16 KiB in any case; a message without memory is refused by itself, with its id. WebSocketFrameTracker follows the raw bytes, so that any frame or message must be complete 2.5 s after its first byte, as over HTTP. A broken message (incomplete, too large, binary) is told by an error at once; open calls are answered, then the close frame is sent. In a drain a message that has begun may be completed.

--- a/src/main/java/maplerail/config/Json.java
+++ b/src/main/java/maplerail/config/Json.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** JSON texts that are passed on to the letter: no number or escape is worded anew on its way through. */
 public final class Json {
@@ -37,6 +38,33 @@
         }
     }
 
+    /**
+     * A string or number of an object whose text may be cut off, as it stands there; empty if it isn't found before that.
+     */
+    public static Optional<String> leadingScalar(String text, String field) {
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) return Optional.empty();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                boolean isSought = parser.currentName().equals(field);
+                JsonToken value = parser.nextToken();
+                if (isSought) return scalarText(parser, text, value);
+                parser.skipChildren();
+            }
+            return Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<String> scalarText(JsonParser parser, String text, JsonToken value) throws IOException {
+        if (value == null || value != JsonToken.VALUE_STRING && !value.isNumeric()) return Optional.empty();
+        int from = (int) parser.currentTokenLocation().getCharOffset();
+        parser.finishToken();
+        int to = (int) parser.currentLocation().getCharOffset();
+        boolean mayGoOn = value.isNumeric() && to >= text.length(); // behind the cut
+        return mayGoOn ? Optional.empty() : Optional.of(text.substring(from, to).strip());
+    }
+
     /** The elements of an array, each as the text that stands there; null if the text is no single array. */
     public static List<String> elements(String text) {
         List<String> out = new ArrayList<>();
--- a/src/main/java/maplerail/front/BodyBuffer.java
+++ b/src/main/java/maplerail/front/BodyBuffer.java
@@ -8,6 +8,7 @@
 /** Collects the pieces of a body or message, as far as its size limit and the memory budget allow. */
 public final class BodyBuffer {
     private final int maxBytes;
+    private final int guaranteedBytes;
     private final MemoryBudget.Reservation memory;
     private final List<byte[]> pieces = new ArrayList<>();
     private State state = State.COLLECTING;
@@ -30,7 +31,13 @@
      * @param memory the memory of the body, which holds nothing yet
      */
     public BodyBuffer(int maxBytes, MemoryBudget.Reservation memory) {
+        this(maxBytes, 0, memory);
+    }
+
+    /** Creates an empty buffer that may hold {@code guaranteedBytes} even where the budget has no room for them. */
+    public BodyBuffer(int maxBytes, int guaranteedBytes, MemoryBudget.Reservation memory) {
         this.maxBytes = maxBytes;
+        this.guaranteedBytes = guaranteedBytes;
         this.memory = memory;
     }
 
@@ -44,7 +51,7 @@
         collectedBytes = (int) Math.min(maxBytes + 1L, (long) collectedBytes + piece.remaining());
         if (collectedBytes > maxBytes) {
             state = State.TOO_LARGE;
-        } else if (state == State.COLLECTING && !memory.tryGrow(piece.remaining())) {
+        } else if (state == State.COLLECTING && !reserve(piece.remaining())) {
             state = State.NO_MEMORY;
         }
         if (state != State.COLLECTING) {
@@ -56,6 +63,12 @@
         pieces.add(bytes);
     }
 
+    private boolean reserve(int bytes) {
+        if (collectedBytes > guaranteedBytes) return memory.tryGrow(bytes);
+        memory.grow(bytes);
+        return true;
+    }
+
     /** The whole body; only while it is kept. */
     public byte[] join() {
         if (pieces.size() == 1) return pieces.get(0);
--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -194,9 +194,16 @@
         setState(exchange, State.AWAITING_RESPONSE);
     }
 
-    /** Reports that the connection was upgraded from HTTP; the component that took it over manages it. */
-    public void onUpgraded(HttpServerExchange exchange) {
+    /** Reports that the connection is upgraded from HTTP; the component that takes it over manages it. */
+    public UpgradedConnection onUpgraded(HttpServerExchange exchange) {
+        ReadAheadConduit readAhead = clients.get(connection(exchange)).readAhead;
         setState(exchange, State.UPGRADED);
+        return new UpgradedConnection((HttpServerConnection) exchange.getConnection(), readAhead, this);
+    }
+
+    /** The time from a request's first byte until it must be complete, in milliseconds. */
+    double requestTimeoutMs() {
+        return drain.isRejectingIncomplete() ? DRAINING_REQUEST_TIMEOUT_MS : REQUEST_TIMEOUT_MS;
     }
 
     private void setState(HttpServerExchange exchange, State state) {
@@ -239,8 +246,7 @@
             double age = now - client.stateSinceMs;
             boolean isExpired = switch (client.state) {
                 case NEW -> age >= REQUEST_TIMEOUT_MS && hasNoInput(client);
-                case RECEIVING ->
-                    age >= (drain.isRejectingIncomplete() ? DRAINING_REQUEST_TIMEOUT_MS : REQUEST_TIMEOUT_MS);
+                case RECEIVING -> age >= requestTimeoutMs();
                 case IDLE -> age >= MAX_IDLE_MS && hasNoInput(client);
                 case CLOSING -> age >= CLOSE_TIMEOUT_MS;
                 default -> false;
--- a/src/main/java/maplerail/front/DisconnectDetector.java
+++ b/src/main/java/maplerail/front/DisconnectDetector.java
@@ -29,13 +29,8 @@
 
     /** True if the client has disconnected, even if the loop has not processed that yet. */
     public static boolean isDisconnected(HttpServerExchange exchange) {
-        return disconnectCheck(exchange).getAsBoolean();
-    }
-
-    /** The same check for repeated use, valid after an upgrade of the connection. */
-    public static BooleanSupplier disconnectCheck(HttpServerExchange exchange) {
         ReadAheadConduit conduit = readAhead(exchange);
-        return conduit == null ? () -> false : conduit::pollEnd;
+        return conduit != null && conduit.pollEnd();
     }
 
     /** True if input after the request was received and is not read yet. */
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.function.Consumer;
 import maplerail.core.MemoryBudget;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
@@ -21,6 +22,7 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final Runnable onRead;
+    private Consumer<ByteBuffer> observer = bytes -> {};
     private final MemoryBudget.Reservation memory;
     private ByteBuffer buffered = EMPTY; // from its position to its limit: received and not read yet
     private long receivedBytes; // without discarded bytes
@@ -131,6 +133,11 @@
         buffered.put(chunk).position(start);
     }
 
+    /** Passes all bytes that are read from now on to an observer as well. */
+    void observe(Consumer<ByteBuffer> reader) {
+        observer = reader;
+    }
+
     /** The number of bytes received so far, including buffered ones. */
     long receivedBytes() {
         return receivedBytes;
@@ -154,26 +161,26 @@
     @Override
     public int read(ByteBuffer into) throws IOException {
         if (discarding) return discardAvailable();
+        int start = into.position();
         int count = buffered.hasRemaining() ? copyBuffered(into) : ended ? -1 : receive(into);
-        if (count > 0) onRead.run();
+        if (count > 0) {
+            observer.accept(into.slice(start, count));
+            onRead.run();
+        }
         return count;
     }
 
     @Override
     public long read(ByteBuffer[] into, int offset, int length) throws IOException {
-        if (discarding) return discardAvailable();
-        if (!buffered.hasRemaining() && !ended) {
-            long count = next.read(into, offset, length);
-            if (count > 0) {
-                receivedBytes += count;
-                onRead.run();
-            }
-            return count;
-        }
         long total = 0;
-        for (int i = offset; i < offset + length && buffered.hasRemaining(); i++) total += copyBuffered(into[i]);
-        if (total > 0) onRead.run();
-        return total == 0 && !buffered.hasRemaining() ? -1 : total;
+        for (int i = offset; i < offset + length; i++) {
+            if (!into[i].hasRemaining()) continue;
+            int count = read(into[i]);
+            if (count < 0 && total == 0) return -1;
+            if (count <= 0) break;
+            total += count;
+        }
+        return total;
     }
 
     private int copyBuffered(ByteBuffer into) {
--- /dev/null
+++ b/src/main/java/maplerail/front/UpgradedConnection.java
@@ -0,0 +1,52 @@
+package maplerail.front;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.AbstractServerConnection;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import maplerail.core.MemoryBudget;
+
+/** A client connection that was upgraded from HTTP, as the component that took it over sees it. */
+public final class UpgradedConnection {
+    private final AbstractServerConnection connection;
+    private final ReadAheadConduit readAhead;
+    private final ConnectionManager connections;
+
+    UpgradedConnection(AbstractServerConnection connection, ReadAheadConduit readAhead, ConnectionManager connections) {
+        this.connection = connection;
+        this.readAhead = readAhead;
+        this.connections = connections;
+    }
+
+    /** A reservation, without any memory yet, for what its client sends. */
+    public MemoryBudget.Reservation reserveMemory() {
+        return connections.reserveMemory();
+    }
+
+    /** The time from a message's first byte until it must be complete, in milliseconds; less in a late part of a drain. */
+    public double messageTimeoutMs() {
+        return connections.requestTimeoutMs();
+    }
+
+    /** Passes the input to an observer as it is read, beginning with what came behind the upgrade request. */
+    public void observeInput(Consumer<ByteBuffer> observer) {
+        PooledByteBuffer received = connection.getExtraBytes();
+        if (received != null) observer.accept(received.getBuffer().duplicate());
+        readAhead.observe(observer);
+    }
+
+    /** The number of bytes that have been read from the connection. */
+    public long consumedBytes() {
+        return readAhead.consumedBytes();
+    }
+
+    /** True if the client has closed its side, even if the loop has not processed that yet. */
+    public boolean isDisconnected() {
+        return readAhead.pollEnd();
+    }
+
+    /** Discards all further input, so that a close does not reset the connection over unread bytes. */
+    public void discardInput() {
+        readAhead.discard();
+    }
+}
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -6,14 +6,12 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 import maplerail.config.ToolsConfig;
 import maplerail.core.EventLoop;
@@ -181,16 +179,12 @@
     }
 
     private void post(HttpServerExchange exchange, int team, byte[] body) {
-        String text;
-        try {
-            text = StandardCharsets.UTF_8
-                    .newDecoder()
-                    .decode(ByteBuffer.wrap(body))
-                    .toString();
-        } catch (CharacterCodingException e) {
+        Optional<String> decoded = Utf8.decode(body);
+        if (decoded.isEmpty()) {
             reject(exchange, 400, "not UTF-8");
             return;
         }
+        String text = decoded.get();
         HeaderMap headers = exchange.getRequestHeaders();
         HttpSession httpSession;
         String newId = null;
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import maplerail.config.Names;
 import maplerail.config.ToolsConfig;
 import maplerail.core.Broker;
@@ -20,7 +19,7 @@
 import maplerail.core.Lifecycle.Phase;
 import maplerail.core.RequestHandle;
 import maplerail.front.ConnectionManager;
-import maplerail.front.DisconnectDetector;
+import maplerail.front.UpgradedConnection;
 import maplerail.metrics.Metrics;
 
 /**
@@ -84,24 +83,21 @@
         } else if (!exchange.getRequestHeaders().contains(Headers.UPGRADE)) {
             httpSessions.handle(exchange, team, connections);
         } else {
-            BooleanSupplier isDisconnected = DisconnectDetector.disconnectCheck(exchange);
-            WebSocketConnectionCallback onUpgraded =
-                    (upgraded, channel) -> openWebSocket(channel, team, isDisconnected);
-            connections.onUpgraded(exchange); // a WebSocket session has no idle timeout
+            UpgradedConnection connection = connections.onUpgraded(exchange); // a WebSocket has no idle timeout
+            WebSocketConnectionCallback onUpgraded = (upgraded, channel) -> openWebSocket(channel, team, connection);
             new WebSocketProtocolHandshakeHandler(onUpgraded).handleRequest(exchange);
         }
     }
 
-    private void openWebSocket(WebSocketChannel channel, int team, BooleanSupplier isDisconnected) {
+    private void openWebSocket(WebSocketChannel channel, int team, UpgradedConnection connection) {
         Session session = new Session(team, this, config.handshake());
-        WebSocketReceiver receiver =
-                new WebSocketReceiver(channel, session, isDisconnected, connections.reserveMemory(), loop, metrics);
+        WebSocketReceiver receiver = new WebSocketReceiver(channel, session, connection, loop, metrics);
         sessions.add(session);
         receivers.put(channel, receiver);
         channel.addCloseTask(closed -> {
             sessions.remove(session);
             receivers.remove(closed);
-            receiver.releaseMemory();
+            receiver.onClosed();
             session.close();
         });
         channel.getReceiveSetter().set(receiver);
@@ -144,6 +140,11 @@
         return sessions.stream().mapToInt(Session::openRequests).sum() + httpSessions.openRequests();
     }
 
+    /** True while a message on a WebSocket has been received in part and may still be completed. */
+    public boolean isReceiving() {
+        return receivers.values().stream().anyMatch(WebSocketReceiver::isReceivingMessage);
+    }
+
     /**
      * Closes the WebSockets without open requests, in a drain. Available messages are received first, so that no
      * request is lost; a WebSocket whose client does not respond to the close frame is cut off.
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import maplerail.config.ConfigException;
 import maplerail.config.Json;
 import maplerail.config.Tree;
@@ -80,6 +81,13 @@
         return batch.seal();
     }
 
+    /** Refuses a message that was not kept; its id, if it is known, is left out where a request with that id is open. */
+    void refuse(Optional<String> id, String reason, MessageSender sender) {
+        String responseId =
+                id.filter(known -> !pendingRequests.containsKey(known)).orElse("null");
+        sender.sendResponse(RpcError.refusedResponse(responseId, reason, RETRY_AFTER_MS));
+    }
+
     private int receiveSingle(String text, MessageSender sender) {
         RpcMessage message;
         try {
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -1,16 +1,17 @@
 package maplerail.front.jsonrpc;
 
 import io.undertow.websockets.core.AbstractReceiveListener;
-import io.undertow.websockets.core.BufferedBinaryMessage;
-import io.undertow.websockets.core.BufferedTextMessage;
 import io.undertow.websockets.core.CloseMessage;
 import io.undertow.websockets.core.StreamSourceFrameChannel;
 import io.undertow.websockets.core.WebSocketChannel;
 import io.undertow.websockets.core.WebSockets;
 import java.io.IOException;
-import java.util.function.BooleanSupplier;
+import java.nio.ByteBuffer;
+import java.util.Optional;
 import maplerail.core.EventLoop;
 import maplerail.core.MemoryBudget;
+import maplerail.front.BodyBuffer;
+import maplerail.front.UpgradedConnection;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
@@ -18,114 +19,160 @@
 import org.xnio.IoUtils;
 
 /**
- * Receives a WebSocket's messages when the loop reports it readable, or on demand. A message that arrives after a close
- * frame was sent is dropped: no response to it could be sent, and its client repeats it on a new connection.
+ * Receives a WebSocket's messages when the loop reports it readable, or on demand.
+ *
+ * <p>A message must be complete in time and small enough, else it ends the WebSocket: no more is received, and the requests
+ * that are open are answered before the close frame is sent. A message that arrives after a close frame was sent is
+ * dropped: no response to it could be sent, and its client repeats it on a new connection.
  */
 final class WebSocketReceiver extends AbstractReceiveListener {
     private static final Logger LOG = LoggerFactory.getLogger(WebSocketReceiver.class);
     private static final int MAX_FRAMES_PER_POLL = 256;
     private static final double CLOSE_TIMEOUT_MS = 1_000; // for the client to respond to a close frame
+    private static final double POLL_MS = 50; // between two looks whether the open requests are answered
 
     private final WebSocketChannel channel;
     private final Session session;
-    private final BooleanSupplier isDisconnected;
+    private final UpgradedConnection connection;
     private final EventLoop loop;
     private final Metrics metrics;
     private final MessageSender sender;
-    /** The memory of a message that is being received. */
-    private final MemoryBudget.Reservation memory;
+    private final MemoryBudget.Reservation memory; // of a message that is being received
+    private final WebSocketFrameTracker frameTracker = new WebSocketFrameTracker();
 
+    private Optional<IncomingMessage> message = Optional.empty();
+    private double messageSinceMs; // while one is received in part
+    private boolean timerSet;
     private boolean receiving;
+    private boolean failed; // nothing more is received
     private boolean closing;
-    private int receivedFrames;
-
-    /**
-     * Creates a receiver; it receives once it is set as the channel's listener.
-     *
-     * @param isDisconnected true if the client has closed its side, even if the loop has not processed that yet
-     * @param memory the memory of a message that is being received, which holds nothing yet
-     */
+    private long receivedFrames;
+
+    /** Creates a receiver; it receives once it is set as the channel's listener. */
     WebSocketReceiver(
-            WebSocketChannel channel,
-            Session session,
-            BooleanSupplier isDisconnected,
-            MemoryBudget.Reservation memory,
-            EventLoop loop,
-            Metrics metrics) {
-        this.memory = memory;
+            WebSocketChannel channel, Session session, UpgradedConnection connection, EventLoop loop, Metrics metrics) {
         this.channel = channel;
         this.session = session;
-        this.isDisconnected = isDisconnected;
+        this.connection = connection;
         this.loop = loop;
         this.metrics = metrics;
+        this.memory = connection.reserveMemory();
         this.sender = new WebSocketSender(channel, session, this::receivePending);
+        connection.observeInput(this::onInput);
     }
 
+    // ---- Receiving ----
+
+    /** Receives one frame, or more of the message that is being received; what has come of that is read at once. */
     @Override
     public void handleEvent(WebSocketChannel from) {
+        receive(() -> {
+            super.handleEvent(from);
+            readMessage();
+        });
+    }
+
+    /** Runs what receives; not within itself, as messages must not be processed within one another. */
+    private void receive(Runnable reception) {
+        if (failed) {
+            endIfDisconnected();
+            return;
+        }
         receiving = true;
         try {
-            super.handleEvent(from);
+            reception.run();
         } finally {
             receiving = false;
         }
     }
 
-    /** Closes the WebSocket unless requests are open, after the messages that are available have been received. */
-    void closeIfIdle(String reason) {
-        if (isClosing() || session.openRequests() > 0) return;
-        receivePending();
-        if (session.openRequests() == 0) close(CloseMessage.GOING_AWAY, reason);
+    private boolean endIfDisconnected() {
+        if (!connection.isDisconnected()) return false;
+        IoUtils.safeClose(channel);
+        session.close();
+        return true;
     }
 
-    /** Sends a close frame, unless one was sent; a client that does not respond to it is cut off. */
-    private void close(int code, String reason) {
-        if (isClosing()) return;
-        closing = true;
-        LOG.debug("websocket closed code={} reason={} open_requests={}", code, reason, session.openRequests());
-        WebSockets.sendClose(new CloseMessage(code, reason), channel, null);
-        loop.schedule(loop.nowMs() + CLOSE_TIMEOUT_MS, () -> IoUtils.safeClose(channel));
+    private void receivePending() {
+        endIfDisconnected();
+        long before = -1;
+        for (int i = 0; !receiving && before != progress() && i < MAX_FRAMES_PER_POLL; i++) {
+            before = progress();
+            handleEvent(channel);
+        }
     }
 
-    private boolean isClosing() {
-        return closing || channel.isCloseFrameSent();
+    /** Changes whenever anything was received. */
+    private long progress() {
+        return receivedFrames + connection.consumedBytes();
     }
 
-    /** Frees the memory of a message that was received in part: the channel has closed. */
-    void releaseMemory() {
-        memory.release();
+    /** Follows the input as it is read, before its frames are decoded. */
+    private void onInput(ByteBuffer bytes) {
+        long completedBefore = frameTracker.completedMessages();
+        boolean wasWithinMessage = frameTracker.isWithinMessage();
+        frameTracker.accept(bytes);
+        boolean begins = !wasWithinMessage || frameTracker.completedMessages() != completedBefore;
+        if (begins) messageSinceMs = loop.nowMs();
+        if (frameTracker.isWithinMessage() && !timerSet) setTimer();
     }
 
-    private void receivePending() {
-        if (isDisconnected.getAsBoolean()) {
-            IoUtils.safeClose(channel);
-            session.close();
+    @Override
+    protected void onText(WebSocketChannel from, StreamSourceFrameChannel frames) {
+        receivedFrames++;
+        message = Optional.of(new IncomingMessage(frames, RpcFront.MAX_MESSAGE_BYTES, memory));
+        frames.getReadSetter().set(readable -> receive(this::readMessage));
+        frames.resumeReads();
+    }
+
+    private void readMessage() {
+        if (message.isEmpty()) return;
+        IncomingMessage current = message.get();
+        boolean isComplete;
+        try {
+            isComplete = current.read();
+        } catch (IOException e) {
+            dropMessage();
+            onError(channel, e);
+            return;
         }
-        // Not while a message is being received: messages must not be processed within one another.
-        for (int i = 0, before = -1; !receiving && before != receivedFrames && i < MAX_FRAMES_PER_POLL; i++) {
-            before = receivedFrames;
-            handleEvent(channel);
+        if (isClosing()) current.drop();
+        else if (current.state() == BodyBuffer.State.TOO_LARGE) fail(CloseMessage.MSG_TOO_BIG, "message too large");
+        if (isComplete && message.isPresent()) onComplete(current);
+    }
+
+    private void onComplete(IncomingMessage complete) {
+        message = Optional.empty();
+        if (isClosing()) {
+            metrics.count(EventCount.MESSAGES_DROPPED_CLOSING);
+            LOG.debug("message dropped after a close frame was sent");
+        } else if (complete.state() == BodyBuffer.State.NO_MEMORY) {
+            metrics.count(EventCount.REQUESTS_REFUSED_MEMORY);
+            session.refuse(complete.id(), "memory", sender);
+        } else {
+            Optional<String> text = complete.text();
+            complete.drop();
+            if (text.isPresent()) session.receive(text.get(), sender);
+            else sender.sendResponse(RpcError.PARSE_ERROR.response("null"));
         }
     }
 
-    /** Called when a message begins: reserves all that it may hold. A longer one ends the connection (1009). */
-    @Override
-    protected long getMaxTextBufferSize() {
-        memory.release();
-        long maxBytes = Math.max(1, Math.min(RpcFront.MAX_MESSAGE_BYTES, memory.maxBytes()));
-        memory.grow(maxBytes);
-        return maxBytes;
+    private void dropMessage() {
+        message.ifPresent(IncomingMessage::abandon);
+        message = Optional.empty();
     }
 
-    @Override
-    protected long getMaxBinaryBufferSize() {
-        return 0;
+    /** Frees the memory of a message that was received in part: the channel has closed. */
+    void onClosed() {
+        dropMessage();
+        failed = true;
     }
 
+    /** Only text frames hold messages. */
     @Override
-    protected void onText(WebSocketChannel from, StreamSourceFrameChannel frame) throws IOException {
+    protected void onBinary(WebSocketChannel from, StreamSourceFrameChannel frame) {
         receivedFrames++;
-        super.onText(from, frame);
+        fail(CloseMessage.WRONG_CODE, "text frames only");
     }
 
     @Override
@@ -140,27 +187,72 @@
         super.onPong(from, frame);
     }
 
-    /** Only text frames hold messages. */
-    @Override
-    protected void onBinary(WebSocketChannel from, StreamSourceFrameChannel frame) throws IOException {
-        receivedFrames++;
-        close(CloseMessage.WRONG_CODE, "text frames only");
-        super.onBinary(from, frame);
+    // ---- Time limit ----
+
+    private void setTimer() {
+        timerSet = true;
+        loop.schedule(messageSinceMs + connection.messageTimeoutMs(), this::onTimer);
     }
 
-    @Override
-    protected void onFullTextMessage(WebSocketChannel from, BufferedTextMessage message) {
-        memory.release();
-        if (isClosing()) {
-            metrics.count(EventCount.MESSAGES_DROPPED_CLOSING);
-            LOG.debug("message dropped after a close frame was sent");
-            return;
+    private void onTimer() {
+        timerSet = false;
+        if (failed || isClosing()) return;
+        if (isMessageOverdue()) receivePending();
+        if (isMessageOverdue()) {
+            metrics.count(EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT);
+            fail(CloseMessage.MSG_VIOLATES_POLICY, "message not complete in time");
+        } else if (frameTracker.isWithinMessage() && !timerSet) {
+            setTimer();
         }
-        session.receive(message.getData(), sender);
     }
 
-    @Override
-    protected void onFullBinaryMessage(WebSocketChannel from, BufferedBinaryMessage message) {
-        message.getData().free();
+    private boolean isMessageOverdue() {
+        return frameTracker.isWithinMessage() && loop.nowMs() - messageSinceMs >= connection.messageTimeoutMs();
+    }
+
+    /** True while a message has been received in part and may still be completed. */
+    boolean isReceivingMessage() {
+        return !failed && !isClosing() && frameTracker.isWithinMessage() && !isMessageOverdue();
+    }
+
+    // ---- Close ----
+
+    /** Closes the WebSocket unless requests are open, after the messages that are available have been received. */
+    void closeIfIdle(String reason) {
+        if (failed || isClosing() || session.openRequests() > 0) return;
+        receivePending();
+        if (failed || session.openRequests() > 0 || isReceivingMessage()) return;
+        close(CloseMessage.GOING_AWAY, reason);
+    }
+
+    /** Ends the WebSocket for what its client sends: nothing more is received, and what is open is answered first. */
+    private void fail(int code, String reason) {
+        if (failed || isClosing()) return;
+        failed = true;
+        dropMessage();
+        connection.discardInput();
+        if (session.openRequests() > 0) {
+            sender.sendResponse(RpcError.INVALID_REQUEST.response("null", reason, ""));
+        }
+        closeOnceAnswered(code, reason);
+    }
+
+    private void closeOnceAnswered(int code, String reason) {
+        if (endIfDisconnected()) return;
+        if (session.openRequests() == 0) close(code, reason);
+        else loop.schedule(loop.nowMs() + POLL_MS, () -> closeOnceAnswered(code, reason));
+    }
+
+    /** Sends a close frame, unless one was sent; a client that does not respond to it is cut off. */
+    private void close(int code, String reason) {
+        if (isClosing()) return;
+        closing = true;
+        LOG.debug("websocket closed code={} reason={} open_requests={}", code, reason, session.openRequests());
+        WebSockets.sendClose(new CloseMessage(code, reason), channel, null);
+        loop.schedule(loop.nowMs() + CLOSE_TIMEOUT_MS, () -> IoUtils.safeClose(channel));
+    }
+
+    private boolean isClosing() {
+        return closing || channel.isCloseFrameSent();
     }
 }
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -85,7 +85,7 @@
 
     /** True while a client may have asked for something that it has no answer to yet. */
     boolean isBusy() {
-        return listener.isBusy() || front.openRequests() > 0;
+        return listener.isBusy() || front.openRequests() > 0 || front.isReceiving();
     }
 
     /** The clients that are still there, for the log. */
--- a/src/test/java/maplerail/support/RawWebSocket.java
+++ b/src/test/java/maplerail/support/RawWebSocket.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** A WebSocket client that writes each frame as a test wants it, also half or wrong ones (RFC 6455, section 5.2). */
-public final class RawWebSocket implements AutoCloseable {
+public final class RawWebSocket implements java.io.Closeable {
     /** The opcodes of frames. */
     public static final int CONTINUATION = 0;
 
