Second front: a rejected WebSocket handshake keeps the time limits of HTTP

What callers saw: after a handshake that was answered with 404 (no key, say) the connection stayed open for good, and half a request behind it was told nothing.

Cause: the connection counted as a WebSocket before the handshake was checked, and a WebSocket has no time limits of its own in ConnectionManager.

Fix: the handshake's rejection gives the connection back its states of HTTP.

--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -201,6 +201,13 @@
         return new UpgradedConnection((HttpServerConnection) exchange.getConnection(), readAhead, this);
     }
 
+    /** Reports that the upgrade was rejected: the connection has the states and time limits of HTTP again. */
+    public void onUpgradeRejected(HttpServerExchange exchange) {
+        ClientConnection client = clients.get(connection(exchange));
+        client.state = State.AWAITING_RESPONSE;
+        client.stateSinceMs = loop.nowMs();
+    }
+
     /** The time from a request's first byte until it must be complete, in milliseconds. */
     double requestTimeoutMs() {
         return drain.isRejectingIncomplete() ? DRAINING_REQUEST_TIMEOUT_MS : REQUEST_TIMEOUT_MS;
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -85,10 +85,15 @@
         } else {
             UpgradedConnection connection = connections.onUpgraded(exchange); // a WebSocket has no idle timeout
             WebSocketConnectionCallback onUpgraded = (upgraded, channel) -> openWebSocket(channel, team, connection);
-            new WebSocketProtocolHandshakeHandler(onUpgraded).handleRequest(exchange);
+            new WebSocketProtocolHandshakeHandler(onUpgraded, this::rejectHandshake).handleRequest(exchange);
         }
     }
 
+    private void rejectHandshake(HttpServerExchange exchange) {
+        connections.onUpgradeRejected(exchange);
+        exchange.setStatusCode(404).endExchange();
+    }
+
     private void openWebSocket(WebSocketChannel channel, int team, UpgradedConnection connection) {
         Session session = new Session(team, this, config.handshake());
         WebSocketReceiver receiver = new WebSocketReceiver(channel, session, connection, loop, metrics);
--- a/src/test/java/maplerail/front/BrokenMessagesTest.java
+++ b/src/test/java/maplerail/front/BrokenMessagesTest.java
@@ -11,6 +11,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -178,6 +180,39 @@
         }
     }
 
+    /** Guards against connections without any time limit, as a handshake that was rejected counts as a WebSocket. */
+    @Test
+    void aHalfRequestBehindARejectedHandshakeIsToldInTime() throws Exception {
+        InetSocketAddress address = world.gateway.rpcAddress();
+        try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+            client.setSoTimeout(20_000);
+            String rejected = "GET /rpc HTTP/1.1\r\nHost: x\r\nReq-Owner: cyngor-glannau\r\nUpgrade: websocket\r\n"
+                    + "Connection: Upgrade\r\nContent-Length: 0\r\n\r\n";
+            double sentMs = nowMs();
+            client.getOutputStream().write((rejected + "POST /rpc").getBytes(StandardCharsets.US_ASCII));
+            String answers = World.readAll(client.getInputStream());
+            assertThat(answers).startsWith("HTTP/1.1 404").contains("HTTP/1.1 408");
+            assertThat(nowMs() - sentMs).isLessThan(BAD_CLIENT_MS);
+        }
+    }
+
+    /** A client may send its first message together with the handshake. */
+    @Test
+    void aMessageBehindTheHandshakeIsServedAndAHalfOneToldInTime() throws Exception {
+        answersAtOnce = true;
+        byte[] whole = frame(TEXT, true, order(1, "a"));
+        double connectedMs = nowMs();
+        try (RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau", whole)) {
+            assertThat(next(client)).contains("\"id\":1,", "4711");
+        }
+        byte[] half = Arrays.copyOf(whole, whole.length / 2);
+        try (RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau", half)) {
+            assertThat(next(client)).isEqualTo("close 1008");
+            assertThat(nowMs() - connectedMs).isLessThan(BAD_CLIENT_MS);
+        }
+        assertThat(run).hasSize(1);
+    }
+
     /** What is sound is served: one byte at a time, in fragments with pings between them, and several in one write. */
     @Test
     void soundMessagesAreServedHoweverTheyAreSent() throws Exception {
--- a/src/test/java/maplerail/support/RawWebSocket.java
+++ b/src/test/java/maplerail/support/RawWebSocket.java
@@ -35,13 +35,21 @@
     }
 
     public RawWebSocket(InetSocketAddress address, String team) throws IOException {
+        this(address, team, new byte[0]);
+    }
+
+    /** Connects, and sends bytes in one write with the handshake. */
+    public RawWebSocket(InetSocketAddress address, String team, byte[] behindHandshake) throws IOException {
         socket = new Socket(address.getAddress(), address.getPort());
         socket.setTcpNoDelay(true);
         socket.setSoTimeout(TIMEOUT_MS);
         in = new DataInputStream(socket.getInputStream());
-        send(("GET /rpc HTTP/1.1\r\nHost: x\r\nReq-Owner: " + team + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
-                        + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
+        send(
+                ("GET /rpc HTTP/1.1\r\nHost: x\r\nReq-Owner: " + team
+                                + "\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                                + "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII),
+                behindHandshake);
         String head = "";
         while (!head.endsWith("\r\n\r\n")) head += (char) in.readUnsignedByte();
         if (!head.startsWith("HTTP/1.1 101")) throw new IOException(head);
