Second front: malformed frames and text are rejected once open calls are answered

What callers saw: an order ran and was never answered, as the next message of its client broke RFC 6455 or was not UTF-8: the WebSocket ended at once (1002, 1007) and its calls were called off. An order in one write before such a frame was run and lost in the same way.

Cause: the library's decoder sends the close frame and shuts the input itself, before the receiver is told anything.

Fix: WebSocketFrameTracker, which follows the raw bytes already, checks each of them (heads, order of fragments, UTF-8) before the library reads it. What breaks the protocol is left out of the input with all behind it; frames before it are received first, then the WebSocket ends as for any broken message: an error at once, each open call is answered, then the close frame. A look before a close that stops at its limit of frames no longer closes. Figure messages_malformed.

--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -22,7 +22,7 @@
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
     private final Runnable onRead;
-    private Consumer<ByteBuffer> observer = bytes -> {};
+    private Consumer<ByteBuffer> filter = bytes -> bytes.position(bytes.limit());
     private final MemoryBudget.Reservation memory;
     private ByteBuffer buffered = EMPTY; // from its position to its limit: received and not read yet
     private long receivedBytes; // without discarded bytes
@@ -133,9 +133,12 @@
         buffered.put(chunk).position(start);
     }
 
-    /** Passes all bytes that are read from now on to an observer as well. */
-    void observe(Consumer<ByteBuffer> reader) {
-        observer = reader;
+    /**
+     * Passes the bytes that are read from now on through a filter. What it leaves in its buffer is discarded, with all
+     * input behind it.
+     */
+    void filter(Consumer<ByteBuffer> newFilter) {
+        filter = newFilter;
     }
 
     /** The number of bytes received so far, including buffered ones. */
@@ -163,11 +166,13 @@
         if (discarding) return discardAvailable();
         int start = into.position();
         int count = buffered.hasRemaining() ? copyBuffered(into) : ended ? -1 : receive(into);
-        if (count > 0) {
-            observer.accept(into.slice(start, count));
-            onRead.run();
-        }
-        return count;
+        if (count <= 0) return count;
+        ByteBuffer received = into.slice(start, count);
+        filter.accept(received);
+        onRead.run();
+        if (received.hasRemaining()) discard();
+        into.position(start + received.position());
+        return received.position();
     }
 
     @Override
--- a/src/main/java/maplerail/front/UpgradedConnection.java
+++ b/src/main/java/maplerail/front/UpgradedConnection.java
@@ -28,11 +28,18 @@
         return connections.requestTimeoutMs();
     }
 
-    /** Passes the input to an observer as it is read, beginning with what came behind the upgrade request. */
-    public void observeInput(Consumer<ByteBuffer> observer) {
+    /**
+     * Passes the input through a filter as it is read, beginning with what came behind the upgrade request. What the filter
+     * leaves in its buffer is discarded, with all input behind it.
+     */
+    public void filterInput(Consumer<ByteBuffer> filter) {
+        readAhead.filter(filter);
         PooledByteBuffer received = connection.getExtraBytes();
-        if (received != null) observer.accept(received.getBuffer().duplicate());
-        readAhead.observe(observer);
+        if (received == null) return;
+        ByteBuffer accepted = received.getBuffer().duplicate();
+        filter.accept(accepted);
+        if (accepted.hasRemaining()) discardInput();
+        received.getBuffer().limit(accepted.position());
     }
 
     /** The number of bytes that have been read from the connection. */
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -21,8 +21,8 @@
 /**
  * Receives a WebSocket's messages when the loop reports it readable, or on demand.
  *
- * <p>A message must be complete in time and small enough, else it ends the WebSocket: no more is received, and the requests
- * that are open are answered before the close frame is sent. A message that arrives after a close frame was sent is
+ * <p>A message must be well-formed, complete in time and small enough, else it ends the WebSocket: no more is received, and the
+ * requests that are open are answered before the close frame is sent. A message that arrives after a close frame was sent is
  * dropped: no response to it could be sent, and its client repeats it on a new connection.
  */
 final class WebSocketReceiver extends AbstractReceiveListener {
@@ -58,7 +58,7 @@
         this.metrics = metrics;
         this.memory = connection.reserveMemory();
         this.sender = new WebSocketSender(channel, session, this::receivePending);
-        connection.observeInput(this::onInput);
+        connection.filterInput(this::onInput);
     }
 
     // ---- Receiving ----
@@ -93,13 +93,16 @@
         return true;
     }
 
-    private void receivePending() {
+    /** Receives the frames that are available; false if there may be more. */
+    private boolean receivePending() {
         endIfDisconnected();
-        long before = -1;
-        for (int i = 0; !receiving && before != progress() && i < MAX_FRAMES_PER_POLL; i++) {
-            before = progress();
+        if (receiving) return false;
+        for (int i = 0; i < MAX_FRAMES_PER_POLL; i++) {
+            long before = progress();
             handleEvent(channel);
+            if (before == progress()) return true;
         }
+        return false;
     }
 
     /** Changes whenever anything was received. */
@@ -107,7 +110,7 @@
         return receivedFrames + connection.consumedBytes();
     }
 
-    /** Follows the input as it is read, before its frames are decoded. */
+    /** Follows the input as it is read, before its frames are decoded, and leaves what violates the protocol. */
     private void onInput(ByteBuffer bytes) {
         long completedBefore = frameTracker.completedMessages();
         boolean wasWithinMessage = frameTracker.isWithinMessage();
@@ -115,6 +118,19 @@
         boolean begins = !wasWithinMessage || frameTracker.completedMessages() != completedBefore;
         if (begins) messageSinceMs = loop.nowMs();
         if (frameTracker.isWithinMessage() && !timerSet) setTimer();
+        if (frameTracker.violation().isPresent()) loop.schedule(loop.nowMs(), this::onViolation);
+    }
+
+    /** Ends the WebSocket for a violation of the protocol, once the frames before it have been received. */
+    private void onViolation() {
+        if (failed || isClosing()) return;
+        if (!receivePending()) {
+            loop.schedule(loop.nowMs(), this::onViolation);
+            return;
+        }
+        frameTracker
+                .violation()
+                .ifPresent(violation -> fail(EventCount.MESSAGES_MALFORMED, violation.closeCode(), violation.reason()));
     }
 
     @Override
@@ -137,7 +153,8 @@
             return;
         }
         if (isClosing()) current.drop();
-        else if (current.state() == BodyBuffer.State.TOO_LARGE) fail(CloseMessage.MSG_TOO_BIG, "message too large");
+        else if (current.state() == BodyBuffer.State.TOO_LARGE)
+            fail(EventCount.MESSAGES_MALFORMED, CloseMessage.MSG_TOO_BIG, "message too large");
         if (isComplete && message.isPresent()) onComplete(current);
     }
 
@@ -172,7 +189,7 @@
     @Override
     protected void onBinary(WebSocketChannel from, StreamSourceFrameChannel frame) {
         receivedFrames++;
-        fail(CloseMessage.WRONG_CODE, "text frames only");
+        fail(EventCount.MESSAGES_MALFORMED, CloseMessage.WRONG_CODE, "text frames only");
     }
 
     @Override
@@ -199,8 +216,10 @@
         if (failed || isClosing()) return;
         if (isMessageOverdue()) receivePending();
         if (isMessageOverdue()) {
-            metrics.count(EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT);
-            fail(CloseMessage.MSG_VIOLATES_POLICY, "message not complete in time");
+            fail(
+                    EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT,
+                    CloseMessage.MSG_VIOLATES_POLICY,
+                    "message not complete in time");
         } else if (frameTracker.isWithinMessage() && !timerSet) {
             setTimer();
         }
@@ -220,15 +239,16 @@
     /** Closes the WebSocket unless requests are open, after the messages that are available have been received. */
     void closeIfIdle(String reason) {
         if (failed || isClosing() || session.openRequests() > 0) return;
-        receivePending();
-        if (failed || session.openRequests() > 0 || isReceivingMessage()) return;
+        boolean isAllReceived = receivePending();
+        if (failed || session.openRequests() > 0 || isReceivingMessage() || !isAllReceived) return;
         close(CloseMessage.GOING_AWAY, reason);
     }
 
     /** Ends the WebSocket for what its client sends: nothing more is received, and what is open is answered first. */
-    private void fail(int code, String reason) {
+    private void fail(EventCount cause, int code, String reason) {
         if (failed || isClosing()) return;
         failed = true;
+        metrics.count(cause);
         dropMessage();
         connection.discardInput();
         if (session.openRequests() > 0) {
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -47,6 +47,8 @@
     REQUESTS_REFUSED_MEMORY,
     /** Requests whose head or body is not framed as HTTP has it. */
     REQUESTS_MALFORMED,
+    /** Messages on WebSockets that were malformed, too large or no text; each of them ended its WebSocket. */
+    MESSAGES_MALFORMED,
     /** Messages that arrived on a WebSocket after its close frame was sent; none of them was processed. */
     MESSAGES_DROPPED_CLOSING,
     /** Clients' guesses at the work of a request that can't be read or are out of range. */
--- a/src/test/java/maplerail/front/BrokenMessagesTest.java
+++ b/src/test/java/maplerail/front/BrokenMessagesTest.java
@@ -10,10 +10,12 @@
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -62,7 +64,18 @@
         TOO_LARGE_IN_FRAGMENTS(
                 1009, frame(TEXT, false, "x".repeat(200_000)), frame(CONTINUATION, false, "x".repeat(100_000))),
         NO_TEXT(1003, frame(BINARY, true, "{}")),
-        HALF_BINARY(1003, head(BINARY, true, 1_000));
+        HALF_BINARY(1003, head(BINARY, true, 1_000)),
+        RESERVED_BITS(1002, withFirstByte(0xc1, frame(TEXT, true, "{}"))),
+        RESERVED_OPCODE(1002, frame(3, true, "{}")),
+        RESERVED_CONTROL_OPCODE(1002, frame(11, true, "")),
+        NOT_MASKED(1002, new byte[] {(byte) 0x81, 2, '{', '}'}),
+        CONTINUATION_OF_NOTHING(1002, frame(CONTINUATION, true, "{}")),
+        MESSAGE_WITHIN_MESSAGE(1002, frame(TEXT, false, "{"), frame(TEXT, true, "{}")),
+        PING_IN_FRAGMENTS(1002, frame(PING, false, "")),
+        LARGE_PING(1002, frame(PING, true, "x".repeat(126))),
+        NEGATIVE_LENGTH(1002, head(TEXT, true, -1L)),
+        NOT_UTF8(1007, frame(TEXT, true, new byte[] {'{', (byte) 0xc3, '}'})),
+        HALF_CHARACTER(1007, frame(TEXT, false, new byte[] {'{', (byte) 0xc3}), frame(CONTINUATION, true, ""));
 
         private final int closeCode;
         private final byte[][] frames;
@@ -73,6 +86,11 @@
         }
     }
 
+    private static byte[] withFirstByte(int first, byte[] frame) {
+        frame[0] = (byte) first;
+        return frame;
+    }
+
     @BeforeEach
     void start() throws Exception {
         toolServer = new StandIn(x -> {
@@ -141,6 +159,28 @@
         await("nothing is open", () -> world.gateway.openRequests() == 0);
     }
 
+    /** The same where the order comes in one write with what is broken behind it. */
+    @ParameterizedTest
+    @EnumSource
+    void anOrderInOneWriteWithABrokenMessageIsAnswered(Broken broken) throws Exception {
+        answersAtOnce = true;
+        try (RawWebSocket client = connect()) {
+            client.send(frame(TEXT, true, order(1, "a")), join(broken.frames));
+            List<String> received = new ArrayList<>();
+            do received.add(next(client));
+            while (received.get(received.size() - 1).startsWith("{"));
+            assertThat(received).filteredOn(text -> text.contains("4711")).hasSize(1);
+            assertThat(received).endsWith("close " + broken.closeCode);
+        }
+        assertThat(run).hasSize(1);
+    }
+
+    private static byte[] join(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) all.writeBytes(part);
+        return all.toByteArray();
+    }
+
     /** The same without an open order: the close comes at once, and no memory is held. */
     @ParameterizedTest
     @EnumSource
@@ -153,6 +193,8 @@
             assertThat(world.figure("memory_used_bytes.tools")).isZero();
             assertThat(describe(client.receive())).isEqualTo(LOST);
         }
+        String figure = broken.closeCode == 1008 ? "connections_closed_request_timeout" : "messages_malformed";
+        assertThat(world.figure(figure)).isEqualTo(1);
     }
 
     /** A message that grows a byte at a time is held to the same time as one that stops. */
@@ -198,19 +240,25 @@
 
     /** A client may send its first message together with the handshake. */
     @Test
-    void aMessageBehindTheHandshakeIsServedAndAHalfOneToldInTime() throws Exception {
+    void aMessageBehindTheHandshakeIsServedAndABrokenOneToldInTime() throws Exception {
         answersAtOnce = true;
         byte[] whole = frame(TEXT, true, order(1, "a"));
         double connectedMs = nowMs();
         try (RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau", whole)) {
             assertThat(next(client)).contains("\"id\":1,", "4711");
         }
+        byte[] malformed = join(whole, frame(CONTINUATION, true, ""), whole);
+        try (RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau", malformed)) {
+            List<String> received = List.of(next(client), next(client), next(client));
+            assertThat(received).filteredOn(text -> text.contains("4711")).hasSize(1);
+            assertThat(received).contains("close 1002");
+        }
         byte[] half = Arrays.copyOf(whole, whole.length / 2);
         try (RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau", half)) {
             assertThat(next(client)).isEqualTo("close 1008");
             assertThat(nowMs() - connectedMs).isLessThan(BAD_CLIENT_MS);
         }
-        assertThat(run).hasSize(1);
+        assertThat(run).hasSize(2);
     }
 
     /** What is sound is served: one byte at a time, in fragments with pings between them, and several in one write. */
--- a/src/test/java/maplerail/front/jsonrpc/WebSocketFrameTrackerTest.java
+++ b/src/test/java/maplerail/front/jsonrpc/WebSocketFrameTrackerTest.java
@@ -42,6 +42,31 @@
         assertThat(tracker.isWithinMessage()).isTrue();
     }
 
+    /** Guards against malformed frames that reach the library's decoder, which ends the WebSocket with its open calls. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 7, 1_000, 1 << 20})
+    void inputIsAcceptedUpToTheFirstByteThatViolatesTheProtocol(int step) {
+        byte[] sound = messages();
+        byte[] malformed = frame(CONTINUATION, true, "");
+        byte[] notText = frame(TEXT, true, new byte[] {'a', (byte) 0xc3, 'b'});
+        assertThat(acceptedBytes(sound, malformed, step)).isEqualTo(sound.length);
+        assertThat(acceptedBytes(sound, notText, step)).isEqualTo(sound.length + notText.length - 1);
+    }
+
+    private static int acceptedBytes(byte[] sound, byte[] malformed, int step) {
+        byte[] bytes = Arrays.copyOf(sound, sound.length + 2 * malformed.length);
+        System.arraycopy(malformed, 0, bytes, sound.length, malformed.length);
+        WebSocketFrameTracker tracker = new WebSocketFrameTracker();
+        int accepted = 0;
+        for (int i = 0; i < bytes.length; i += step) {
+            ByteBuffer piece = ByteBuffer.wrap(bytes, i, Math.min(step, bytes.length - i));
+            tracker.accept(piece);
+            accepted += piece.position() - i;
+        }
+        assertThat(tracker.violation()).isPresent();
+        return accepted;
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 125, 126, 65_535, 65_536, 1L << 40, Long.MAX_VALUE})
     void aFrameIsCompleteWithTheLastByteOfItsPayloadOnly(long length) {
--- a/src/test/java/maplerail/support/RawWebSocket.java
+++ b/src/test/java/maplerail/support/RawWebSocket.java
@@ -72,7 +72,10 @@
     }
 
     public static byte[] frame(int opcode, boolean isFinal, String payload) {
-        byte[] data = payload.getBytes(StandardCharsets.UTF_8);
+        return frame(opcode, isFinal, payload.getBytes(StandardCharsets.UTF_8));
+    }
+
+    public static byte[] frame(int opcode, boolean isFinal, byte[] data) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(head(opcode, isFinal, data.length));
         for (int i = 0; i < data.length; i++) out.write(data[i] ^ MASK[i % MASK.length]);
@@ -83,9 +86,9 @@
     public static byte[] head(int opcode, boolean isFinal, long length) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.write((isFinal ? FINAL : 0) | opcode);
-        if (length < 126) {
+        if (length >= 0 && length < 126) {
             out.write(MASKED | (int) length);
-        } else if (length < 65_536) {
+        } else if (length >= 0 && length < 65_536) {
             out.write(MASKED | 126);
             for (int shift = 8; shift >= 0; shift -= 8) out.write((int) (length >> shift));
         } else {
