--- a/src/main/java/maplerail/front/jsonrpc/IncomingMessage.java
+++ b/src/main/java/maplerail/front/jsonrpc/IncomingMessage.java
@@ -2,6 +2,7 @@
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.websockets.core.StreamSourceFrameChannel;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -19,7 +20,7 @@
 
     private final StreamSourceFrameChannel frames;
     private final BodyBuffer body;
-    private ByteBuffer beginning = ByteBuffer.allocate(0);
+    private final ByteArrayOutputStream beginning = new ByteArrayOutputStream();
 
     /**
      * Creates a message of which nothing has been read.
@@ -49,10 +50,9 @@
     }
 
     private void add(ByteBuffer piece) {
-        if (beginning.capacity() == 0) {
-            beginning = ByteBuffer.allocate(Math.min(BEGINNING_BYTES, piece.remaining()));
-            beginning.put(piece.slice(piece.position(), beginning.capacity())).flip();
-        }
+        byte[] kept = new byte[Math.min(BEGINNING_BYTES - beginning.size(), piece.remaining())];
+        piece.duplicate().get(kept);
+        beginning.writeBytes(kept);
         body.add(piece);
     }
 
@@ -68,8 +68,7 @@
 
     /** The JSON text of the request's id, if it stands in the first bytes of the message. */
     Optional<String> id() {
-        return Json.leadingScalar(
-                StandardCharsets.UTF_8.decode(beginning.duplicate()).toString(), "id");
+        return Json.leadingScalar(beginning.toString(StandardCharsets.UTF_8), "id");
     }
 
     /** Stops to read: a listener that reads nothing more would be called over and over. */
--- a/src/test/java/maplerail/incident/HalfMessagesIT.java
+++ b/src/test/java/maplerail/incident/HalfMessagesIT.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
     private static final int HALF_BYTES = 100_000;
     private static final int SENT_BYTES = 90_000;
     private static final int LARGE_CHARS = 150_000; // of a message that may be refused while others hold the memory
+    private static final int FIRST_BYTES = 20; // of that message, in a write of their own: its id is not among them
     private static final int BAD_CLIENTS = 60;
     private static final double BAD_CLIENT_MS = 3_000; // within which such a client is owed an error or a close
     private static final long ORDER_MS = 1_500; // that an order runs
@@ -137,7 +139,10 @@
                 await("it runs", () -> runs.get() == 1);
                 client.sendText(order(2, 2_000));
                 client.sendText(order(3, 16_000));
-                client.sendText(order(4, LARGE_CHARS));
+                byte[] large = RawWebSocket.text(order(4, LARGE_CHARS));
+                client.send(Arrays.copyOf(large, FIRST_BYTES));
+                TimeUnit.MILLISECONDS.sleep(50);
+                client.send(Arrays.copyOfRange(large, FIRST_BYTES, large.length));
                 List<String> answers = new ArrayList<>();
                 for (int i = 0; i < 4; i++) answers.add(String.valueOf(client.receiveText()));
                 assertThat(answers)
