Fronts: one base for the two conduits that decode or buffer input

DecodingConduit holds the reads into several buffers and the transfers, which stood in ReadAheadConduit and ChunkedBodyConduit alike.

--- a/src/main/java/maplerail/front/ChunkedBodyConduit.java
+++ b/src/main/java/maplerail/front/ChunkedBodyConduit.java
@@ -8,20 +8,14 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
-import org.xnio.conduits.Conduits;
-import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * The data of a request's chunked body, decoded strictly. It stands in place of Undertow's conduit, whose
  * {@code ChunkReader} takes an unparsable chunk size for 0, which marks the last chunk, and skips any bytes that follow
  * the data of a chunk. Bytes after the body's end are left for the next request.
  */
-final class ChunkedBodyConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ChunkedBodyConduit extends DecodingConduit {
     private final HttpServerConnection connection;
     private final HttpServerExchange exchange;
     private final ChunkedBodyDecoder decoder = new ChunkedBodyDecoder();
@@ -97,29 +91,6 @@
         Connectors.terminateRequest(exchange);
     }
 
-    @Override
-    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-        long total = 0;
-        for (int i = offset; i < offset + length; i++) {
-            if (!targets[i].hasRemaining()) continue;
-            int count = read(targets[i]);
-            if (count < 0) return total == 0 ? -1 : total;
-            total += count;
-            if (targets[i].hasRemaining()) break;
-        }
-        return total;
-    }
-
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer through, StreamSinkChannel target) throws IOException {
-        return Conduits.transfer(this, count, through, target);
-    }
-
     @Override
     public void terminateReads() throws IOException {
         if (!ended) exchange.setPersistent(false);
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -2,20 +2,15 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.util.function.Consumer;
 import maplerail.core.MemoryBudget;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.conduits.AbstractStreamSourceConduit;
-import org.xnio.conduits.ConduitReadableByteChannel;
-import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Buffers a client's input ahead of its reader, so that the end of the input is detected even behind unread bytes or
  * before the loop processes the readable event.
  */
-final class ReadAheadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class ReadAheadConduit extends DecodingConduit {
     private static final int MAX_BUFFERED_BYTES =
             64 * 1024; // further input stays in the socket: back-pressure on the client
     private static final int READ_BYTES = 1024;
@@ -175,19 +170,6 @@
         return received.position();
     }
 
-    @Override
-    public long read(ByteBuffer[] into, int offset, int length) throws IOException {
-        long total = 0;
-        for (int i = offset; i < offset + length; i++) {
-            if (!into[i].hasRemaining()) continue;
-            int count = read(into[i]);
-            if (count < 0 && total == 0) return -1;
-            if (count <= 0) break;
-            total += count;
-        }
-        return total;
-    }
-
     private int copyBuffered(ByteBuffer into) {
         int count = Math.min(into.remaining(), buffered.remaining());
         into.put(buffered.slice(buffered.position(), count));
@@ -196,16 +178,6 @@
         return count;
     }
 
-    @Override
-    public long transferTo(long position, long count, FileChannel target) throws IOException {
-        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
-    }
-
-    @Override
-    public long transferTo(long count, ByteBuffer through, StreamSinkChannel target) throws IOException {
-        return Conduits.transfer(this, count, through, target);
-    }
-
     @Override
     public void resumeReads() {
         if (ended || buffered.hasRemaining()) next.wakeupReads();
