--- a/src/test/java/maplerail/front/RequestFramingTest.java
+++ b/src/test/java/maplerail/front/RequestFramingTest.java
@@ -10,8 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import maplerail.support.StandIn;
+import maplerail.support.OrderWorld;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,20 +22,12 @@
 
 /** Requests whose body's length and end can't be told for certain, at both fronts, beside other ways to write a valid one. */
 class RequestFramingTest {
-    private static final String TOOLS = """
-            {"listen":"127.0.0.1:0","services":{"records":{"path":"/tool","servers":["%s"]}},
-             "contracts":{"raise":{"repeat":"side_effect","deadline_ms":5000,"most_argument_bytes":1000,"most_reply_bytes":1000}},
-             "tools":{"orders.raise":{"service":"records","contract":"raise"}},
-             "teams":{"cyngor-glannau":{"calls_per_s":1000,"calls_in_flight":1000}}}""";
-
     private static final String CHUNKED = "Transfer-Encoding: chunked";
     private static final int BYTE_BY_BYTE = 1;
 
-    private final List<String> run = new CopyOnWriteArrayList<>(); // the bodies that engines and tool servers run
-    private StandIn reader;
-    private StandIn writer;
-    private StandIn toolServer;
+    private OrderWorld orders;
     private World world;
+    private List<String> run; // the bodies that engines and tool servers run
 
     /** The two fronts that read requests over HTTP. */
     private enum Front {
@@ -80,34 +71,14 @@
 
     @BeforeEach
     void start() throws Exception {
-        reader = World.reader();
-        writer = new StandIn(x -> {
-            if (x.method.equals("DELETE")) {
-                x.reply(204, "");
-                return;
-            }
-            run.add(x.body);
-            x.stream();
-            x.chunk("data: [DONE]\n\n");
-            x.last();
-        });
-        toolServer = new StandIn(x -> {
-            run.add(x.body);
-            x.reply(200, "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"order\":4711}}");
-        });
-        world = new World()
-                .admin()
-                .engine("r", "prefill", reader)
-                .engine("w", "decode", writer)
-                .start(TOOLS.formatted(toolServer.address()));
+        orders = new OrderWorld();
+        world = orders.world;
+        run = orders.run;
     }
 
     @AfterEach
     void stop() throws Exception {
-        world.close();
-        reader.close();
-        writer.close();
-        toolServer.close();
+        orders.close();
     }
 
     private Socket connect(Front front) throws IOException {
@@ -198,6 +169,36 @@
         assertThat(run).isEmpty();
     }
 
+    /** Guards against lengths that contradict each other or are no numbers, behind which another request could hide. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 10~Transfer-Encoding: chunked",
+                "Transfer-Encoding: chunked~Content-Length: 10",
+                "Transfer-Encoding: chunked~Transfer-Encoding: chunked",
+                "Transfer-Encoding: chunked~Transfer-Encoding: identity",
+                "Transfer-Encoding:~Content-Length: 10",
+                "Transfer-Encoding:~Transfer-Encoding: chunked",
+                "Content-Length: 10~Content-Length: 10",
+                "Content-Length: 10~Content-Length: 11",
+                "Content-Length: 10, 10",
+                "Content-Length: -1",
+                "Content-Length: +10",
+                "Content-Length: 0x10",
+                "Content-Length: 1 0",
+                "Content-Length: ten",
+                "Content-Length:",
+                "Content-Length: 99999999999999999999"
+            })
+    void aRequestOfUncertainLengthIsRejectedAndNothingBehindItIsRun(String lengths) throws Exception {
+        for (Front front : Front.values()) {
+            String head = front.head(lengths.replace("~", "\r\n"));
+            String answer = exchange(front, head + front.chunks("ALL0~~") + front.validRequest());
+            assertThat(answer).as("%s", front).matches("(?s)(HTTP/1.1 [45].*)?").doesNotContain("HTTP/1.1 2");
+        }
+        assertThat(run).isEmpty();
+    }
+
     /** Bodies that end with their connection, or are announced to be larger than any may be. */
     @ParameterizedTest
     @ValueSource(strings = {"A", "A5", "A5~12", "A0", "A0~", "A0~Name", "Affffffffffffffffff~17", "A40000001~17"})
