Second front: idle WebSockets end, and leave room for other teams

Cause: an upgraded connection had no idle time, was passed over where connections are closed for room, and nothing bounded what one team holds.

Fix: UpgradedConnections closes WebSockets that were idle for session_idle_ms, and from seven eighths of the connections on those idle for the longest, 2 s at least, through the same look and close frame as a drain. One team's WebSockets may hold three quarters of the connections where the file names several teams; beyond that 503 with Retry-After, counted in websockets_refused_team. ConnectionLimit and EarlyResponse leave ConnectionManager, which grew.

Measured: IdleWebSocketsTest 3 of 3; a WebSocket with an open order and one that pings stay. ConnectionManagerTest, PlatformTest, DrainTest, LameDuckTest, Closing*Test, Tool*Test, ArchitectureTest pass.

--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -3,8 +3,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -40,20 +38,6 @@
     private static final double MIN_NEW_MS = 200; // for which a new one may send nothing while connections are scarce
     private static final double MAX_IDLE_MS = 30_000;
     private static final double SWEEP_INTERVAL_MS = 50;
-    private static final byte[] REQUEST_TIMEOUT_RESPONSE = ("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
-                    + "Connection: close\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] DRAINING_RESPONSE = ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
-                    + "Connection: close\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII);
-    private static final int FREE_DIVISOR = 8; // one eighth of the limit is kept free by closing idle connections
-
-    /**
-     * With less than this part of the limit free, new clients may be locked out, so recently idle connections close
-     * too.
-     */
-    private static final int NEARLY_FULL_DIVISOR = 32;
-
     private static final double CLOSE_TIMEOUT_MS = 1_000; // after the final response, for the client to close its side
 
     /** After a response in a drain, for a request that the client sends immediately after the response's end. */
@@ -61,12 +45,13 @@
 
     private final ChannelListener<StreamConnection> next;
     private final EventLoop loop;
-    private final int maxConnections;
+    private final ConnectionLimit limit;
     private final DrainSchedule drain;
     private final MemoryBudget memory;
     private final Metrics metrics;
     private final Map<StreamConnection, ClientConnection> clients = new LinkedHashMap<>();
     private final DrainBoundary drainBoundary;
+    private final UpgradedConnections upgraded;
     private boolean sweeping;
 
     /**
@@ -86,10 +71,16 @@
         this.memory = memory;
         this.next = next;
         this.loop = loop;
-        this.maxConnections = maxConnections;
+        this.limit = new ConnectionLimit(maxConnections);
         this.drain = drain;
         this.drainBoundary = new DrainBoundary(drain);
         this.metrics = metrics;
+        this.upgraded = new UpgradedConnections(metrics);
+    }
+
+    /** The listener's connection limit. */
+    public int maxConnections() {
+        return limit.maxConnections();
     }
 
     /**
@@ -100,7 +91,7 @@
      */
     public void onAccepted(Collection<StreamConnection> waiting) {
         // XNIO stops at the limit, or one short of it if no connection was pending at that moment.
-        boolean mayBeFull = clients.size() + waiting.size() >= maxConnections - 1;
+        boolean mayBeFull = clients.size() + waiting.size() >= limit.maxConnections() - 1;
         drainBoundary.onAccepted(waiting, clients.values(), mayBeFull);
     }
 
@@ -201,6 +192,11 @@
         return new UpgradedConnection((HttpServerConnection) exchange.getConnection(), readAhead, this);
     }
 
+    /** Sets who handles an upgraded connection, and how long that may be idle. */
+    void setHandler(HttpServerConnection connection, UpgradedHandler handler, double maxIdleMs) {
+        upgraded.add(connection.getChannel(), handler, maxIdleMs);
+    }
+
     /** Reports that the upgrade was rejected: the connection has the states and time limits of HTTP again. */
     public void onUpgradeRejected(HttpServerExchange exchange) {
         ClientConnection client = clients.get(connection(exchange));
@@ -262,11 +258,10 @@
         });
         expired.forEach(this::evict);
         freeConnections(State.CLOSING, 0, now);
-        freeConnections(
-                State.IDLE,
-                clients.size() >= maxConnections - maxConnections / NEARLY_FULL_DIVISOR ? MIN_NEW_MS : MIN_IDLE_MS,
-                now);
+        freeConnections(State.IDLE, limit.isNearlyFull(clients.size()) ? MIN_NEW_MS : MIN_IDLE_MS, now);
         freeConnections(State.NEW, MIN_NEW_MS, now);
+        upgraded.closeExpired(now);
+        upgraded.free(excess(), now);
         sweeping = !clients.isEmpty();
         if (sweeping) loop.schedule(now + SWEEP_INTERVAL_MS, this::sweep);
     }
@@ -274,15 +269,11 @@
     private void evict(StreamConnection connection) {
         ClientConnection client = clients.get(connection);
         if (client.state == State.RECEIVING) {
+            EarlyResponse response =
+                    drain.isRejectingIncomplete() ? EarlyResponse.DRAINING : EarlyResponse.REQUEST_TIMEOUT;
             try {
-                boolean draining = drain.isRejectingIncomplete();
-                connection
-                        .getSinkChannel()
-                        .write(ByteBuffer.wrap(draining ? DRAINING_RESPONSE : REQUEST_TIMEOUT_RESPONSE));
-                metrics.count(
-                        draining
-                                ? EventCount.CONNECTIONS_CLOSED_DRAINING
-                                : EventCount.CONNECTIONS_CLOSED_REQUEST_TIMEOUT);
+                connection.getSinkChannel().write(response.text());
+                metrics.count(response.cause());
                 shutdownOutput(connection, client);
                 return;
             } catch (IOException e) {
@@ -298,6 +289,7 @@
     }
 
     private void remove(StreamConnection connection) {
+        upgraded.remove(connection);
         ClientConnection removed = clients.remove(connection);
         if (removed != null) removed.releaseMemory();
     }
@@ -311,9 +303,13 @@
         client.readAhead.discard();
     }
 
+    private int excess() {
+        return limit.excess(clients.size() - upgraded.closingCount());
+    }
+
     /** While connections are scarce, closes those that have been in a state for the longest. */
     private void freeConnections(State state, double minAgeMs, double now) {
-        int excess = clients.size() - (maxConnections - maxConnections / FREE_DIVISOR);
+        int excess = excess();
         if (excess <= 0) return;
         clients.entrySet().stream()
                 .filter(e -> e.getValue().state == state && now - e.getValue().stateSinceMs >= minAgeMs)
--- a/src/main/java/maplerail/front/UpgradedConnection.java
+++ b/src/main/java/maplerail/front/UpgradedConnection.java
@@ -1,23 +1,28 @@
 package maplerail.front;
 
 import io.undertow.connector.PooledByteBuffer;
-import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import maplerail.core.MemoryBudget;
 
 /** A client connection that was upgraded from HTTP, as the component that took it over sees it. */
 public final class UpgradedConnection {
-    private final AbstractServerConnection connection;
+    private final HttpServerConnection connection;
     private final ReadAheadConduit readAhead;
     private final ConnectionManager connections;
 
-    UpgradedConnection(AbstractServerConnection connection, ReadAheadConduit readAhead, ConnectionManager connections) {
+    UpgradedConnection(HttpServerConnection connection, ReadAheadConduit readAhead, ConnectionManager connections) {
         this.connection = connection;
         this.readAhead = readAhead;
         this.connections = connections;
     }
 
+    /** Sets who handles the connection, and how long it may be idle, in milliseconds. */
+    public void setHandler(UpgradedHandler handler, double maxIdleMs) {
+        connections.setHandler(connection, handler, maxIdleMs);
+    }
+
     /** A reservation, without any memory yet, for what its client sends. */
     public MemoryBudget.Reservation reserveMemory() {
         return connections.reserveMemory();
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -20,6 +20,7 @@
 import maplerail.core.RequestHandle;
 import maplerail.front.ConnectionManager;
 import maplerail.front.UpgradedConnection;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 
 /**
@@ -28,6 +29,7 @@
  */
 public final class RpcFront implements HttpHandler, Session.Dispatcher {
     static final int MAX_MESSAGE_BYTES = 256 * 1024;
+    private static final int OTHER_TEAMS_DIVISOR = 4; // this part of all connections
 
     private final ToolsConfig config;
     private final ToolMethods toolMethods;
@@ -82,13 +84,27 @@
             exchange.setStatusCode(503).endExchange();
         } else if (!exchange.getRequestHeaders().contains(Headers.UPGRADE)) {
             httpSessions.handle(exchange, team, connections);
+        } else if (webSocketsOf(team) >= maxWebSocketsOfTeam()) {
+            metrics.count(EventCount.WEBSOCKETS_REFUSED_TEAM);
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
+            exchange.setStatusCode(503).endExchange();
         } else {
-            UpgradedConnection connection = connections.onUpgraded(exchange); // a WebSocket has no idle timeout
+            UpgradedConnection connection = connections.onUpgraded(exchange);
             WebSocketConnectionCallback onUpgraded = (upgraded, channel) -> openWebSocket(channel, team, connection);
             new WebSocketProtocolHandshakeHandler(onUpgraded, this::rejectHandshake).handleRequest(exchange);
         }
     }
 
+    private long webSocketsOf(int team) {
+        return sessions.stream().filter(session -> session.team() == team).count();
+    }
+
+    /** The connections that one team's WebSockets may occupy: where there are several teams, some are left to the others. */
+    private int maxWebSocketsOfTeam() {
+        int all = connections.maxConnections();
+        return config.teams().size() == 1 ? all : all - all / OTHER_TEAMS_DIVISOR;
+    }
+
     private void rejectHandshake(HttpServerExchange exchange) {
         connections.onUpgradeRejected(exchange);
         exchange.setStatusCode(404).endExchange();
@@ -97,6 +113,7 @@
     private void openWebSocket(WebSocketChannel channel, int team, UpgradedConnection connection) {
         Session session = new Session(team, this, config.handshake());
         WebSocketReceiver receiver = new WebSocketReceiver(channel, session, connection, loop, metrics);
+        connection.setHandler(receiver, config.sessionIdleMs());
         sessions.add(session);
         receivers.put(channel, receiver);
         channel.addCloseTask(closed -> {
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -39,6 +39,10 @@
         this.state = new SessionState(handshake);
     }
 
+    int team() {
+        return team;
+    }
+
     SessionState state() {
         return state;
     }
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -8,10 +8,12 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import maplerail.core.EventLoop;
 import maplerail.core.MemoryBudget;
 import maplerail.front.BodyBuffer;
 import maplerail.front.UpgradedConnection;
+import maplerail.front.UpgradedHandler;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import org.slf4j.Logger;
@@ -25,7 +27,7 @@
  * requests that are open are answered before the close frame is sent. A message that arrives after a close frame was sent is
  * dropped: no response to it could be sent, and its client repeats it on a new connection.
  */
-final class WebSocketReceiver extends AbstractReceiveListener {
+final class WebSocketReceiver extends AbstractReceiveListener implements UpgradedHandler {
     private static final Logger LOG = LoggerFactory.getLogger(WebSocketReceiver.class);
     private static final int MAX_FRAMES_PER_POLL = 256;
     private static final double CLOSE_TIMEOUT_MS = 1_000; // for the client to respond to a close frame
@@ -42,6 +44,7 @@
 
     private Optional<IncomingMessage> message = Optional.empty();
     private double messageSinceMs; // while one is received in part
+    private double lastUsedMs;
     private boolean timerSet;
     private boolean receiving;
     private boolean failed; // nothing more is received
@@ -57,6 +60,7 @@
         this.loop = loop;
         this.metrics = metrics;
         this.memory = connection.reserveMemory();
+        this.lastUsedMs = loop.nowMs();
         this.sender = new WebSocketSender(channel, session, this::receivePending);
         connection.filterInput(this::onInput);
     }
@@ -112,6 +116,7 @@
 
     /** Follows the input as it is read, before its frames are decoded, and leaves what violates the protocol. */
     private void onInput(ByteBuffer bytes) {
+        lastUsedMs = loop.nowMs();
         long completedBefore = frameTracker.completedMessages();
         boolean wasWithinMessage = frameTracker.isWithinMessage();
         frameTracker.accept(bytes);
@@ -236,12 +241,21 @@
 
     // ---- Close ----
 
+    @Override
+    public OptionalDouble idleSinceMs() {
+        if (session.openRequests() > 0) lastUsedMs = loop.nowMs();
+        boolean isInUse = failed || isClosing() || session.openRequests() > 0 || isReceivingMessage();
+        return isInUse ? OptionalDouble.empty() : OptionalDouble.of(lastUsedMs);
+    }
+
     /** Closes the WebSocket unless requests are open, after the messages that are available have been received. */
-    void closeIfIdle(String reason) {
-        if (failed || isClosing() || session.openRequests() > 0) return;
+    @Override
+    public boolean closeIfIdle(String reason) {
+        if (failed || isClosing() || session.openRequests() > 0) return false;
         boolean isAllReceived = receivePending();
-        if (failed || session.openRequests() > 0 || isReceivingMessage() || !isAllReceived) return;
+        if (failed || session.openRequests() > 0 || isReceivingMessage() || !isAllReceived) return false;
         close(CloseMessage.GOING_AWAY, reason);
+        return true;
     }
 
     /** Ends the WebSocket for what its client sends: nothing more is received, and what is open is answered first. */
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -47,6 +47,8 @@
     REQUESTS_REFUSED_MEMORY,
     /** Requests whose head or body is not framed as HTTP has it. */
     REQUESTS_MALFORMED,
+    /** WebSockets that were refused because their team had too many of the front's connections. */
+    WEBSOCKETS_REFUSED_TEAM,
     /** Messages on WebSockets that were malformed, too large or no text; each of them ended its WebSocket. */
     MESSAGES_MALFORMED,
     /** Messages that arrived on a WebSocket after its close frame was sent; none of them was processed. */
