Second front: each message gets its answer, whatever it names twice or a handler throws

Cause: Json.fields returns null for such an object, as which value counts would be a guess, and its callers used the null. What a handler threw went past the session, which had entered the request already and never took it out.

Fix: RpcMessage rejects such params with -32602, ToolMethods such _meta. Whatever a handler throws ends in an answer (-32603, may have run) for that message alone, is logged and counted (messages_failed).

--- a/src/main/java/maplerail/front/jsonrpc/RpcError.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcError.java
@@ -10,6 +10,8 @@
     INVALID_REQUEST(-32600, "not a valid request"),
     METHOD_NOT_FOUND(-32601, "no such method"),
     INVALID_PARAMS(-32602, "not valid parameters"),
+    /** This server failed at the request; may have been executed. */
+    INTERNAL_ERROR(-32603, "internal error"),
     /** Not executed; a retry is safe. */
     REFUSED(-32000, "refused"),
     /** May have been executed. */
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -22,12 +22,15 @@
 import maplerail.front.UpgradedConnection;
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * JSON-RPC 2.0 for the teams of the operator's configuration: over a WebSocket with one message per text frame, or over
  * HTTP with event streams.
  */
 public final class RpcFront implements HttpHandler, Session.Dispatcher {
+    private static final Logger LOG = LoggerFactory.getLogger(RpcFront.class);
     static final int MAX_MESSAGE_BYTES = 256 * 1024;
     private static final int OTHER_TEAMS_DIVISOR = 4; // this part of all connections
 
@@ -147,6 +150,12 @@
         return accepting && lifecycle.phase() != Phase.STARTING;
     }
 
+    @Override
+    public void onFailure(RuntimeException failure) {
+        metrics.count(EventCount.MESSAGES_FAILED);
+        LOG.error("message failed", failure);
+    }
+
     /** Rejects new requests from now on; accepted ones are finished. */
     public void stopAccepting() {
         accepting = false;
--- a/src/main/java/maplerail/front/jsonrpc/RpcMessage.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcMessage.java
@@ -50,6 +50,8 @@
                             ? RpcError.INVALID_PARAMS.response(responseId, "by name, please", "")
                             : RpcError.INVALID_REQUEST.response(responseId, "params", ""));
         }
+        if (Json.fields(params) == null)
+            throw new MalformedMessageException(RpcError.INVALID_PARAMS.response(responseId, "a name twice", ""));
         return new RpcMessage(id, maplerail.config.Tree.any("method", method).text(), params, false);
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -31,6 +31,9 @@
 
         /** True while new requests are accepted. */
         boolean isAccepting();
+
+        /** Reports that a message could not be processed for a fault of this server. */
+        void onFailure(RuntimeException failure);
     }
 
     Session(int team, Dispatcher dispatcher, boolean handshake) {
@@ -99,17 +102,29 @@
         } catch (RpcMessage.MalformedMessageException e) {
             sender.sendResponse(e.errorResponse());
             return 1;
+        } catch (RuntimeException e) {
+            dispatcher.onFailure(e);
+            sender.sendResponse(RpcError.INTERNAL_ERROR.response("null"));
+            return 1;
         }
         if (message.isResponse()) return 0; // this server sends no requests that could be answered
         if (message.id() == null) {
-            if (message.method().equals("notifications/cancelled")) cancel(message);
-            if (message.method().equals("notifications/initialized")) state.onInitialized();
+            handleNotification(message);
             return 0; // a notification has no response
         }
         handleRequest(message, sender);
         return 1;
     }
 
+    private void handleNotification(RpcMessage message) {
+        try {
+            if (message.method().equals("notifications/cancelled")) cancel(message);
+            if (message.method().equals("notifications/initialized")) state.onInitialized();
+        } catch (RuntimeException e) {
+            dispatcher.onFailure(e);
+        }
+    }
+
     private void handleRequest(RpcMessage message, MessageSender sender) {
         if (pendingRequests.containsKey(message.id())) {
             // The client would take a response with this id for the first request's response.
@@ -143,6 +158,9 @@
             else pending.handle = dispatcher.start(team, message, pending);
         } catch (ConfigException e) {
             pending.finish(RpcError.INVALID_PARAMS.response(message.id(), e.getMessage(), ""));
+        } catch (RuntimeException e) {
+            dispatcher.onFailure(e);
+            pending.finish(RpcError.INTERNAL_ERROR.failedResponse(message.id(), "internal"));
         }
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/ToolMethods.java
+++ b/src/main/java/maplerail/front/jsonrpc/ToolMethods.java
@@ -86,7 +86,9 @@
         if (token.text(null) == null && !token.isWhole()) {
             throw new ConfigException(token.path() + ": neither a text nor a whole number");
         }
-        return Json.fields(meta).get("progressToken");
+        Map<String, String> fields = Json.fields(meta);
+        if (fields == null) throw new ConfigException("params._meta: a name twice");
+        return fields.get("progressToken");
     }
 
     String list(RpcMessage message) {
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -51,6 +51,8 @@
     WEBSOCKETS_REFUSED_TEAM,
     /** Messages on WebSockets that were malformed, too large or no text; each of them ended its WebSocket. */
     MESSAGES_MALFORMED,
+    /** Messages of tool calls' clients at which the program failed with an exception. */
+    MESSAGES_FAILED,
     /** Messages that arrived on a WebSocket after its close frame was sent; none of them was processed. */
     MESSAGES_DROPPED_CLOSING,
     /** Clients' guesses at the work of a request that can't be read or are out of range. */
