Second front: a resumed stream does not set its client's last id back

Cause: the event without data that lets a client resume was written with 0 whatever the client had received.

Evidence: aStreamThatBreaksBeforeAndAfterEachEventDeliversEachOnce on the code before: "expected 4-1 but was 4-0" at the second break.

Fix: it carries the id that the client has.

--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -74,7 +74,7 @@
             jsonOnly = true;
             connection = new Connection(exchange);
         } else {
-            sendStream(exchange, replay.messagesAfter(0));
+            sendStream(exchange, 0, replay.messagesAfter(0));
         }
     }
 
@@ -84,17 +84,17 @@
         if (missed == null) return false;
         // The previous connection may still be open: a message must not be sent on both.
         if (connection != null) connection.close();
-        sendStream(exchange, missed);
+        sendStream(exchange, lastSeen, missed);
         return true;
     }
 
-    private void sendStream(HttpServerExchange exchange, List<ReplayBuffer.Message> first) {
+    private void sendStream(HttpServerExchange exchange, long lastSeen, List<ReplayBuffer.Message> first) {
         exchange.setStatusCode(200);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
         exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
         connection = new Connection(exchange);
-        // An id without data lets a client resume that loses the connection before the first message.
-        connection.write("id: " + number + "-0\n\n");
+        // An id without data lets a client resume that loses the connection before the next message.
+        connection.write("id: " + number + "-" + lastSeen + "\n\n");
         first.forEach(message -> connection.write(formatEvent(message)));
         if (finished) connection.complete();
     }
--- a/src/test/java/maplerail/front/HttpSessionTest.java
+++ b/src/test/java/maplerail/front/HttpSessionTest.java
@@ -296,6 +296,50 @@
         }
     }
 
+    /** Guards against events that are told twice, or a 410, as a resumed stream sets the client's last id back to its start. */
+    @Test
+    void aStreamThatBreaksBeforeAndAfterEachEventDeliversEachOnce() throws Exception {
+        int events = 6;
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(x -> {
+                    x.stream();
+                    for (int i = 0; i < events; i++) x.chunk("data: n" + i + "\n\n");
+                    streams.add(x);
+                });
+                StandIn tool = tool(new AtomicInteger());
+                World world = new World()
+                        .engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start("""
+                {"listen":"127.0.0.1:0","services":{"records":{"servers":["%s"]}},
+                 "contracts":{"find":{"repeat":"pure","deadline_ms":5000,"most_argument_bytes":200,"most_reply_bytes":1000}},
+                 "tools":{"columns.find":{"service":"records","contract":"find"}},
+                 "teams":{"cyngor-glannau":{"calls_per_s":100,"calls_in_flight":4}}}""".formatted(tool.address()))) {
+            String session = open(world);
+            String last;
+            try (Stream first = new Stream(world, "POST", session, ANSWER_REQUEST, "")) {
+                first.awaitId();
+                last = first.lastId;
+                take(streams).last();
+            }
+            List<String> received = new ArrayList<>();
+            for (int i = 0; i <= events; i++) {
+                String resumed = "Last-Event-ID: " + last + "\r\n";
+                try (Stream broken = new Stream(world, "GET", session, "", resumed)) {
+                    broken.awaitId();
+                    assertThat(broken.lastId).as("before any event").isEqualTo(last);
+                }
+                try (Stream next = new Stream(world, "GET", session, "", resumed)) {
+                    received.add(next.next());
+                    last = next.lastId;
+                }
+            }
+            for (int i = 0; i < events; i++) assertThat(received.get(i)).contains("\"data\":\"n" + i + "\"");
+            assertThat(received.get(events)).contains("\"id\":1,\"result\"");
+        }
+    }
+
     @Test
     void aLostConnectionCancelsNothingAndAnExpiredSessionCancelsItsCalls() throws Exception {
         BlockingQueue<StandIn.Exchange> calls = World.queue();
