Second front: a client that leaves while its stream is resumed raises no exception

What operators saw: "Undertow request failed" with a NullPointerException in the log; the connection was ended anyway.

Cause: sendStream went on through the field that the first failed write clears.

Fix: it writes on the connection that it opened, which ignores writes once closed.

--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -92,11 +92,12 @@
         exchange.setStatusCode(200);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
         exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-cache");
-        connection = new Connection(exchange);
+        Connection opened = new Connection(exchange); // each write may find that its client has left
+        connection = opened;
         // An id without data lets a client resume that loses the connection before the next message.
-        connection.write("id: " + number + "-" + lastSeen + "\n\n");
-        first.forEach(message -> connection.write(formatEvent(message)));
-        if (finished) connection.complete();
+        opened.write("id: " + number + "-" + lastSeen + "\n\n");
+        first.forEach(message -> opened.write(formatEvent(message)));
+        if (finished) opened.complete();
     }
 
     private String formatEvent(ReplayBuffer.Message message) {
