Consul: an older list from a server that knows no leader changes nothing

Cause: any index that goes back counted as that of a restored catalogue.

Evidence: on the code before, ConsulTest.anOlderListIsTakenFromAServerThatKnows... took the older list, and ToolCallTest.aServerThatConsulMarksCriticalGetsNoCalls- ByAStaleAnswer had a call answered by a drained server.

Fix: an index below the newest one taken from this address is ignored where the server says that it knows no leader; the next query comes after a backoff and does not block. With a leader it is taken as before.

--- a/src/main/java/maplerail/discovery/BlockingQuery.java
+++ b/src/main/java/maplerail/discovery/BlockingQuery.java
@@ -33,6 +33,8 @@
     private static final double FIRST_RETRY_MS = 100;
     private static final double MAX_RETRY_MS = 1_200;
     private static final int OK = 200;
+    private static final String INDEX_HEADER = "X-Consul-Index";
+    private static final String KNOWN_LEADER_HEADER = "X-Consul-KnownLeader";
     private static final Pattern INDEX = Pattern.compile("[0-9]{1,18}");
 
     private final ConnectionPool pool;
@@ -42,6 +44,7 @@
     private final Backoff backoff;
     private InetSocketAddress address;
     private long index;
+    private long takenIndex; // of the newest result that was taken from this address
     private boolean shortPolling = true; // from the start or a failure until the next response
     private int generation; // incremented for each call or scheduled call; identifies the latest one
 
@@ -64,6 +67,7 @@
     void redirect(InetSocketAddress newAddress) {
         address = newAddress;
         index = 0;
+        takenIndex = 0;
         shortPolling = true;
         backoff.reset();
         poll();
@@ -97,10 +101,23 @@
      * would turn the query into a busy loop.
      */
     static long nextIndex(long current, String header) {
-        long received = header != null && INDEX.matcher(header).matches() ? Long.parseLong(header) : 0;
+        long received = parseIndex(header);
         return received < current ? 0 : received;
     }
 
+    private static long parseIndex(String header) {
+        return header != null && INDEX.matcher(header).matches() ? Long.parseLong(header) : 0;
+    }
+
+    /**
+     * True for a result that is older than the one taken, from a server that knows no leader: it has not heard of changes,
+     * while a restored catalogue is told by a server that knows one.
+     */
+    private boolean isStale(HeaderMap headers) {
+        return "false".equalsIgnoreCase(headers.getFirst(KNOWN_LEADER_HEADER))
+                && parseIndex(headers.getFirst(INDEX_HEADER)) < takenIndex;
+    }
+
     private final class Response extends TextResponseHandler {
         private final InetSocketAddress calledAddress = address;
         private final int callGeneration;
@@ -115,9 +132,15 @@
             try {
                 if (status != OK) throw new ConfigException("unexpected status " + status);
                 Tree result = Tree.any(path, text);
-                long received = nextIndex(index, headers.getFirst("X-Consul-Index"));
+                if (isStale(headers)) {
+                    LOG.warn("consul result ignored path={} reason=older_and_without_leader", path);
+                    onNoResponse();
+                    return true;
+                }
+                long received = nextIndex(index, headers.getFirst(INDEX_HEADER));
                 // The response to an earlier call may arrive after that to a later call, which takes precedence.
                 if (callGeneration != generation && received <= index) return true;
+                takenIndex = parseIndex(headers.getFirst(INDEX_HEADER));
                 handle(result, received);
                 return true;
             } catch (ConfigException e) {
--- a/src/test/java/maplerail/discovery/ConsulTest.java
+++ b/src/test/java/maplerail/discovery/ConsulTest.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.EngineIds;
 import maplerail.config.EngineList;
 import maplerail.config.Json;
@@ -86,6 +87,44 @@
         }
     }
 
+    /** An older index is that of a restored catalogue only if the server that tells it knows a leader. */
+    @Test
+    void anOlderListIsTakenFromAServerThatKnowsALeaderOnly() throws Exception {
+        String[][] answers = {
+            {"11", "true"}, {"10", "false"}, {"12", "false"}, {"4", "false"}, {"3", "true"}, {"5", "true"}
+        };
+        AtomicInteger calls = new AtomicInteger();
+        BlockingQueue<String> results = World.queue();
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
+        try (StandIn consul = new StandIn(exchange -> {
+            int call = calls.getAndIncrement();
+            if (call >= answers.length) exchange.awaitEnd();
+            else
+                exchange.reply(
+                        200,
+                        "{\"call\":" + call + "}",
+                        "X-Consul-Index: " + answers[call][0],
+                        "X-Consul-KnownLeader: " + answers[call][1]);
+        })) {
+            ConnectionPool pool = new ConnectionPool(loop, new DefaultByteBufferPool(true, 8_192), 30_000, 250, 10)
+                    .withoutSettleDelay();
+            BlockingQuery query = new BlockingQuery(
+                    pool,
+                    loop,
+                    consul.socketAddress(),
+                    "/v1/x",
+                    new SplittableRandom(1),
+                    result -> results.add("" + result.at("call").raw()));
+            loop.execute(query::poll);
+            for (String taken : List.of("0", "2", "4", "5"))
+                assertThat(World.take(results)).isEqualTo(taken);
+        } finally {
+            loop.execute(loop::close);
+            worker.shutdownNow();
+        }
+    }
+
     private static EngineList platformList(String dial, String health) {
         Names names = new Names(
                 java.util.List.of("caerdydd"), java.util.List.of("prefill"), java.util.List.of(), java.util.List.of());
--- a/src/test/java/maplerail/front/ConsulStandIn.java
+++ b/src/test/java/maplerail/front/ConsulStandIn.java
@@ -15,6 +15,7 @@
     private final List<String> states = new ArrayList<>();
     private long index = 100;
     private int healthQueries;
+    private List<String> staleStates; // those of a follower that knows no leader, while one answers
 
     ConsulStandIn(StandIn... tools) throws IOException {
         this.tools = tools;
@@ -25,33 +26,50 @@
                     ? Long.parseLong(x.target.split("index=")[1].split("&")[0])
                     : 0;
             String body = health ? healthAfter(known) : servicesAfter(known);
-            x.reply(200, body, "X-Consul-Index: " + now());
+            x.reply(200, body, "X-Consul-Index: " + now(), "X-Consul-KnownLeader: " + knowsLeader());
         });
     }
 
     private synchronized long now() {
-        return index;
+        return knowsLeader() ? index : index - 1;
+    }
+
+    private synchronized boolean knowsLeader() {
+        return staleStates == null;
     }
 
     private synchronized String servicesAfter(long known) throws InterruptedException {
-        while (known == index) wait();
+        while (known == now()) wait();
         return "{\"consul\":[],\"records\":[\"v1\"]}";
     }
 
     private synchronized String healthAfter(long known) throws InterruptedException {
         healthQueries++;
-        while (known == index) wait();
+        while (known == now()) wait();
+        List<String> told = staleStates == null ? states : staleStates;
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < tools.length; i++) {
             entries.add(
                     "{\"Node\":{\"Node\":\"n" + i + "\",\"Address\":\"127.0.0.1\"},\"Service\":{\"ID\":\"records-" + i
                             + "\",\"Service\":\"records\",\"Address\":\"\",\"Port\":"
                             + tools[i].socketAddress().getPort()
-                            + "},\"Checks\":[{\"Status\":\"passing\"},{\"Status\":\"" + states.get(i) + "\"}]}");
+                            + "},\"Checks\":[{\"Status\":\"passing\"},{\"Status\":\"" + told.get(i) + "\"}]}");
         }
         return "[" + String.join(",", entries) + "]";
     }
 
+    /** Answers come from a follower that has not heard of the last change and knows no leader. */
+    synchronized void fallBehind(List<String> statesBefore) {
+        staleStates = statesBefore;
+        notifyAll();
+    }
+
+    /** Answers come from the leader again. */
+    synchronized void catchUp() {
+        staleStates = null;
+        notifyAll();
+    }
+
     synchronized void status(int tool, String status) {
         states.set(tool, status);
         index++;
--- a/src/test/java/maplerail/front/ToolCallTest.java
+++ b/src/test/java/maplerail/front/ToolCallTest.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.WebSocket;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -409,6 +410,38 @@
         }
     }
 
+    /** Guards against calls to a drained server, as a follower's older answer counts as that of a restored catalogue. */
+    @Test
+    void aServerThatConsulMarksCriticalGetsNoCallsByAStaleAnswer() throws Exception {
+        AtomicInteger one = new AtomicInteger();
+        AtomicInteger two = new AtomicInteger();
+        try (StandIn first = tool(one);
+                StandIn second = tool(two);
+                ConsulStandIn consul = new ConsulStandIn(first, second);
+                World world = new World()
+                        .start(tools(
+                                "\"consul\":\"" + consul.address()
+                                        + "\",\"services\":{\"records\":{\"path\":\"/tool\"}},",
+                                "300",
+                                4,
+                                1000))) {
+            Client client = Client.connect(world, "cyngor-glannau");
+            await("servers are discovered", () -> callSucceeds(client));
+            consul.status(0, "critical");
+            consul.status(1, "critical");
+            await("no server is left", () -> !callSucceeds(client));
+            int before = one.get() + two.get();
+            int queriesBefore = consul.healthQueries();
+            consul.fallBehind(List.of("passing", "passing"));
+            await("the follower has answered", () -> consul.healthQueries() >= queriesBefore + 2);
+            for (int i = 0; i < 4; i++) assertThat(callSucceeds(client)).isFalse();
+            assertThat(one.get() + two.get()).as("calls to drained servers").isEqualTo(before);
+            consul.catchUp();
+            consul.status(1, "passing");
+            await("a server is back", () -> callSucceeds(client));
+        }
+    }
+
     private static boolean callSucceeds(Client client) {
         client.call(client.answerCount.get() + 100, "columns.find");
         try {
