--- a/src/test/java/maplerail/front/ToolFaultsTest.java
+++ b/src/test/java/maplerail/front/ToolFaultsTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.Json;
 import maplerail.config.Tree;
@@ -126,6 +127,26 @@
         }
     }
 
+    /** Guards against calls that are cut off after the 3 s of streams, as their contract's limit is not in force. */
+    @Test
+    void aServerMayBeSilentForAsLongAsItsContractAllows() throws Exception {
+        BlockingQueue<StandIn.Exchange> calls = World.queue();
+        try (StandIn tool = new StandIn(x -> {
+                    x.stream();
+                    calls.add(x);
+                });
+                World world = world(5_000, 20_000, tool)) {
+            Client client = new Client(world);
+            client.call(1, "columns.find", ",\"_meta\":{\"progressToken\":7}");
+            StandIn.Exchange call = take(calls);
+            call.chunk(progress(token(call), "1"));
+            assertThat(take(client.received)).contains("notifications/progress");
+            TimeUnit.MILLISECONDS.sleep(3_600);
+            call.chunk("data: {\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"one\":1}}\n\n");
+            assertThat(take(client.received)).contains("\"id\":1,\"result\":{\"one\":1}");
+        }
+    }
+
     @Test
     void progressExtendsACallOnlyUpToItsContractsLimit() throws Exception {
         try (StandIn tool = new StandIn(x -> {
