Routing: a request with an index below 0 is rejected instead of failing the step

Cause: handleArrival checked the upper end only. The adapter's u32 became negative from 2^31 on; it now stays beyond the list, which is no tenant.

Evidence: aRequestWithAnIndexBelowZeroIsRejected on the code before: IndexOutOfBounds, index -1.

Not a fault, shown by a test: MigratedStream carries ids whole.

--- a/src/main/java/maplerail/migration/MigratedStream.java
+++ b/src/main/java/maplerail/migration/MigratedStream.java
@@ -13,7 +13,7 @@
  *
  * <pre>
  * u8 format version (1), u8 close flag (0 or 1), client: 4 bytes and u16 port, engine: the same,
- * request class and request id: u16 length and UTF-8 each
+ * request class and request id: u16 length and modified UTF-8 each, as {@link java.io.DataOutput#writeUTF} has it
  * </pre>
  *
  * @param requestClass the name of the request's class
--- a/src/main/java/maplerail/routing/RoutingEvent.java
+++ b/src/main/java/maplerail/routing/RoutingEvent.java
@@ -59,7 +59,7 @@
     }
 
     /**
-     * A request has arrived.
+     * A request has arrived. It is rejected if its class is not in the settings or an index is below 0.
      *
      * @param requestId the request's number, unique while it is open
      * @param requestClass the index of its class in {@link RoutingSettings#classes()}
--- a/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
+++ b/src/main/java/maplerail/routing/d2lpm/D2lpmPolicy.java
@@ -407,7 +407,8 @@
     }
 
     private void handleArrival(RoutingEvent.RequestArrived arrival) {
-        if (arrival.requestClass() >= settings.classes().size()) {
+        boolean hasClass = arrival.requestClass() >= 0 && arrival.requestClass() < settings.classes().size();
+        if (!hasClass || arrival.tenant() < 0) {
             actions.add(new RoutingAction.RejectRequest(arrival.requestId(), 0));
             return;
         }
--- a/src/main/java/maplerail/sim/Codec.java
+++ b/src/main/java/maplerail/sim/Codec.java
@@ -138,7 +138,7 @@
                     new RoutingEvent.RequestArrived(
                             u64(record, 2),
                             u8(record, 19),
-                            (int) u32(record, 44),
+                            (int) Math.min(Integer.MAX_VALUE, u32(record, 44)),
                             u64(record, 11),
                             f32(record, 20),
                             u64(record, 24),
--- a/src/test/java/maplerail/migration/DescriptorChannelTest.java
+++ b/src/test/java/maplerail/migration/DescriptorChannelTest.java
@@ -77,6 +77,18 @@
         assertThat(STREAM.encode()).isEqualTo(bytes);
     }
 
+    /** Any id arrives whole, and in the bytes of the version before (modified UTF-8: U+0000 and surrogates). */
+    @Test
+    void idsOfAnyCharactersAreCarriedWhole() throws IOException {
+        MigratedStream stream = new MigratedStream(
+                "lamp-\u00e9\u20ac", "a\u0000b\ud83d\udca1\ud800", false, STREAM.client(), STREAM.engine());
+        assertThat(MigratedStream.decode(stream.encode())).isEqualTo(stream);
+        byte[] before = HexFormat.of()
+                .parseHex("01007f0000019c417f000002ffff000a6c616d702dc3a9e282ac000d61c08062eda0bdedb2a1eda080");
+        assertThat(stream.encode()).isEqualTo(before);
+        assertThat(MigratedStream.decode(before)).isEqualTo(stream);
+    }
+
     @Test
     void descriptionThatIsTooLongIsNotEncoded() {
         MigratedStream huge =
--- a/src/test/java/maplerail/routing/d2lpm/D2lpmPolicyTest.java
+++ b/src/test/java/maplerail/routing/d2lpm/D2lpmPolicyTest.java
@@ -1296,4 +1296,22 @@
             assertTrue(gateway.actionsOf(RejectRequest.class).stream().allMatch(r -> r.requestId() > 40));
         }
     }
+
+    /** Guards against an exception, and a request without an answer, for an index below 0. */
+    @Test
+    void aRequestWithAnIndexBelowZeroIsRejected() {
+        PolicyHarness gateway = new PolicyHarness();
+        gateway.tenants = List.of(new RoutingSettings.Tenant(10));
+        gateway.start(reader(1), writer(2));
+        for (int[] classAndTenant : new int[][] {{-1, 0}, {0, -1}, {Integer.MIN_VALUE, Integer.MIN_VALUE}, {99, 0}}) {
+            List<RoutingAction> actions = gateway.report(new RoutingEvent.RequestArrived(
+                    7, classAndTenant[0], classAndTenant[1], 0, 1_000, 0, 0, 5_000, 200, 0, false));
+            assertEquals(List.of(new RejectRequest(7, 0)), actions);
+        }
+        assertEquals(
+                1,
+                gateway.arrive(8).stream()
+                        .filter(RoutingAction.StartAttempt.class::isInstance)
+                        .count());
+    }
 }
