Second front: answers kept for clients that come again hold their budget

Cause: ReplayBuffer kept each stream's newest message whatever the budget of all streams, and finished streams keep their answer.

An answer sent as JSON is not kept, as it can't be taken up.

--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -70,6 +70,7 @@
             exchange.setStatusCode(202).endExchange();
         } else if (immediateResponse != null && replay.lastNumber() == 0) {
             sendJson(exchange, immediateResponse);
+            immediateResponse = null; // it can't be resumed
         } else if (!acceptsEvents) {
             jsonOnly = true;
             connection = new Connection(exchange);
--- a/src/main/java/maplerail/rpc/ReplayBuffer.java
+++ b/src/main/java/maplerail/rpc/ReplayBuffer.java
@@ -1,11 +1,13 @@
 package maplerail.rpc;
 
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Buffers the last messages of one stream, numbered from 1, for a client that reconnects: it receives each message once
- * and in order, or an explicit error if some have been dropped. Bounded by count and by size.
+ * and in order, or an explicit error if some have been dropped. Bounded by count, by size and by what all streams buffer.
  */
 public final class ReplayBuffer {
     private final int maxMessages;
@@ -18,9 +20,13 @@
     /** A message and its number. */
     public record Message(long number, String text) {}
 
-    /** Limits what all streams of a front may buffer together, in characters. */
+    /**
+     * Limits what all streams of a front may buffer together, in characters. Where it is used up, the streams that were
+     * added to the longest ago lose their oldest messages; only the newest message of all is kept whatever its size.
+     */
     public static final class Budget {
         private final int maxChars;
+        private final Set<ReplayBuffer> byLastUse = new LinkedHashSet<>();
         private int usedChars;
 
         /** Creates a budget of {@code maxChars} characters. */
@@ -32,9 +38,24 @@
         public int usedChars() {
             return usedChars;
         }
+
+        private boolean isExceeded() {
+            return usedChars > maxChars;
+        }
+
+        private void onAdded(ReplayBuffer newest) {
+            byLastUse.remove(newest);
+            byLastUse.add(newest);
+            while (isExceeded()) {
+                ReplayBuffer oldest = byLastUse.iterator().next();
+                if (oldest == newest) return;
+                oldest.dropOldest();
+                if (oldest.buffered.isEmpty()) byLastUse.remove(oldest);
+            }
+        }
     }
 
-    /** Creates a buffer with these limits, and less while the budget is used up; the newest message is always kept. */
+    /** Creates a buffer with these limits; the newest message is kept until others need its part of the budget. */
     public ReplayBuffer(int maxMessages, int maxChars, Budget budget) {
         this.maxMessages = maxMessages;
         this.maxChars = maxChars;
@@ -46,13 +67,16 @@
         Message message = new Message(++lastNumber, text);
         buffered.addLast(message);
         addChars(text.length());
-        while (buffered.size() > 1
-                && (buffered.size() > maxMessages || bufferedChars > maxChars || budget.usedChars > budget.maxChars)) {
-            addChars(-buffered.pollFirst().text().length());
-        }
+        while (buffered.size() > 1 && (buffered.size() > maxMessages || bufferedChars > maxChars)) dropOldest();
+        budget.onAdded(this);
+        while (buffered.size() > 1 && budget.isExceeded()) dropOldest();
         return message;
     }
 
+    private void dropOldest() {
+        addChars(-buffered.pollFirst().text().length());
+    }
+
     private void addChars(int delta) {
         bufferedChars += delta;
         budget.usedChars += delta;
@@ -62,6 +86,7 @@
     public void clear() {
         buffered.clear();
         addChars(-bufferedChars);
+        budget.byLastUse.remove(this);
     }
 
     /** The number of the newest message; 0 before the first. */
--- a/src/test/java/maplerail/rpc/ReplayBufferTest.java
+++ b/src/test/java/maplerail/rpc/ReplayBufferTest.java
@@ -48,6 +48,30 @@
         }
     }
 
+    /** Guards against a heap full of answers that nobody takes up: finished streams keep theirs beyond the budget. */
+    @Test
+    void streamsTogetherKeepNoMoreThanTheBudgetAndTheNewestMessage() {
+        ReplayBuffer.Budget budget = new ReplayBuffer.Budget(1_000);
+        List<ReplayBuffer> streams = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            ReplayBuffer stream = new ReplayBuffer(8, 500, budget);
+            streams.add(stream);
+            stream.add("event");
+            stream.add("x".repeat(400)); // an answer
+            assertThat(budget.usedChars()).isLessThanOrEqualTo(1_000);
+            assertThat(stream.messagesAfter(1)).hasSize(1);
+        }
+        assertThat(streams.get(0).messagesAfter(1))
+                .as("the oldest is told that it is gone")
+                .isNull();
+        assertThat(streams.get(48).messagesAfter(0)).hasSize(2);
+        streams.get(48).add("x".repeat(2_000));
+        assertThat(budget.usedChars()).isEqualTo(2_000);
+        assertThat(streams.get(48).messagesAfter(2)).hasSize(1);
+        streams.forEach(ReplayBuffer::clear);
+        assertThat(budget.usedChars()).isZero();
+    }
+
     @Test
     void anUnknownOrDroppedNumberCannotBeResumedFrom() {
         ReplayBuffer replay = new ReplayBuffer(2, 100, new ReplayBuffer.Budget(100));
