Second front: a session's idle time runs from the end of its last connection

Cause: the idle time ran from the last POST where the stream had ended by the time its connection did.

Evidence: anAnswerIsKeptForTheIdleTimeAfterALongCall failed on the code before.

Fix: the stream reports each end of a connection, also after its last message.

--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -26,7 +26,7 @@
     private final long number;
     private final ReplayBuffer replay;
     private final Runnable onWritable;
-    private final Runnable onConnectionLost;
+    private final Runnable onConnectionEnded;
     private String immediateResponse;
     private boolean jsonOnly;
     private boolean started;
@@ -37,13 +37,13 @@
      * Creates a stream without a connection.
      *
      * @param onWritable called when a slow client can take more
-     * @param onConnectionLost called when the connection ends before the stream
+     * @param onConnectionEnded called when a connection has ended, before the stream or after its last message
      */
-    EventStream(long number, ReplayBuffer.Budget budget, Runnable onWritable, Runnable onConnectionLost) {
+    EventStream(long number, ReplayBuffer.Budget budget, Runnable onWritable, Runnable onConnectionEnded) {
         this.number = number;
         this.replay = new ReplayBuffer(MAX_REPLAY_MESSAGES, MAX_REPLAY_CHARS, budget);
         this.onWritable = onWritable;
-        this.onConnectionLost = onConnectionLost;
+        this.onConnectionEnded = onConnectionEnded;
     }
 
     long number() {
@@ -159,6 +159,7 @@
             closed = true;
             connection = null;
             sendJson(exchange, text);
+            onConnectionEnded.run();
         }
 
         void write(String text) {
@@ -204,6 +205,7 @@
                     closed = true;
                     connection = null;
                     flush();
+                    onConnectionEnded.run();
                 } else if (!channel.flush() || !unsent.isEmpty()) {
                     channel.resumeWrites();
                 } else {
@@ -232,7 +234,7 @@
             if (connection == this) connection = null;
             // Paused streams resume: the replay buffers what fits, and a resumption reports if messages were dropped.
             onWritable.run();
-            if (!finished) onConnectionLost.run();
+            onConnectionEnded.run();
         }
     }
 }
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -66,7 +66,7 @@
         EventStream openStream() {
             lastUsedMs = loop.nowMs();
             EventStream stream =
-                    new EventStream(++lastStreamNumber, budget, session::onClientWritable, this::onConnectionLost);
+                    new EventStream(++lastStreamNumber, budget, session::onClientWritable, this::onConnectionEnded);
             streams.put(stream.number(), stream);
             int finished = (int)
                     streams.values().stream().filter(EventStream::finished).count();
@@ -80,7 +80,7 @@
             return stream;
         }
 
-        private void onConnectionLost() {
+        private void onConnectionEnded() {
             lastUsedMs = loop.nowMs();
             if (!resumable) close(); // without a session id no client can resume the stream
         }
--- a/src/test/java/maplerail/front/HttpSessionTest.java
+++ b/src/test/java/maplerail/front/HttpSessionTest.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.Tree;
 import maplerail.support.StandIn;
@@ -379,6 +380,30 @@
         }
     }
 
+    /** Guards against answers that are dropped with their session, as its idle time counts from the call and not from its end. */
+    @Test
+    void anAnswerIsKeptForTheIdleTimeAfterALongCall() throws Exception {
+        BlockingQueue<StandIn.Exchange> calls = World.queue();
+        try (StandIn tool = new StandIn(calls::add);
+                World world = world("\"session_idle_ms\":900,", tool)) {
+            String session = open(world);
+            String last;
+            try (Stream cut = new Stream(world, "POST", session, call(1, "orders.raise"), "")) {
+                cut.awaitId();
+                last = cut.lastId;
+                StandIn.Exchange call = take(calls);
+                TimeUnit.MILLISECONDS.sleep(1_500);
+                call.reply(200, RESULT);
+                await("it is answered", () -> world.gateway.openRequests() == 0);
+            }
+            TimeUnit.MILLISECONDS.sleep(400);
+            try (Stream again = new Stream(world, "GET", session, "", "Last-Event-ID: " + last + "\r\n")) {
+                assertThat(again.next()).contains("\"id\":1,\"result\":{\"lamp\":1.50}");
+            }
+            await("the session is removed", () -> world.gateway.rpcHeld()[0] == 0);
+        }
+    }
+
     @Test
     void aClientErrorFromAToolServerDoesNotCountAgainstItsHealth() throws Exception {
         AtomicInteger effects = new AtomicInteger();
