Second front: calls of a deleted session are answered, and their connections end

Cause: a session's close dropped its requests silently, which is right where the client has gone, and forgot the connections that were open.

Fix: HttpSessions ends a session through Session.end, which cancels each request with its answer (-32003, may have run); the streams end with it. Over a WebSocket the channel is gone when its session closes, as before.

--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -91,7 +91,7 @@
         }
 
         void close() {
-            session.close();
+            session.end();
             streams.values().forEach(EventStream::clearReplay);
             streams.clear();
         }
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -177,9 +177,13 @@
     private void cancel(RpcMessage message) {
         String id = Json.fields(message.params()).get("requestId");
         PendingRequest pending = id == null ? null : pendingRequests.get(id);
-        if (pending == null) return;
-        pending.finish(RpcError.CANCELLED.failedResponse(id, "cancelled"));
-        if (pending.handle != null) pending.handle.onClientDisconnected();
+        if (pending != null) pending.cancel("cancelled");
+    }
+
+    /** Ends the session while its client may still be connected: open requests are cancelled and answered. */
+    void end() {
+        for (PendingRequest pending : List.copyOf(pendingRequests.values())) pending.cancel("the session has ended");
+        close();
     }
 
     /** Closes the session after its client has disconnected for good, and cancels its requests. */
@@ -271,8 +275,16 @@
 
         /** Ends a started request that has exceeded its time limit. */
         void expire() {
+            abort(RpcError.DEADLINE, "deadline");
+        }
+
+        private void cancel(String reason) {
+            abort(RpcError.CANCELLED, reason);
+        }
+
+        private void abort(RpcError error, String reason) {
             if (finished) return;
-            finish(RpcError.DEADLINE.failedResponse(id, "deadline"));
+            finish(error.failedResponse(id, reason));
             if (handle != null) handle.onClientDisconnected();
         }
 
--- a/src/test/java/maplerail/front/HttpSessionTest.java
+++ b/src/test/java/maplerail/front/HttpSessionTest.java
@@ -3,6 +3,7 @@
 import static maplerail.support.World.await;
 import static maplerail.support.World.take;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
@@ -12,6 +13,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -404,6 +406,34 @@
         }
     }
 
+    /** Guards against calls without an answer or an end, and a process that does not stop, after a DELETE of their session. */
+    @Test
+    void callsOfADeletedSessionAreToldThatTheyAreCancelled() throws Exception {
+        BlockingQueue<StandIn.Exchange> calls = World.queue();
+        try (StandIn tool = new StandIn(x -> {
+                    calls.add(x);
+                    x.awaitEnd();
+                });
+                World world = world("", tool)) {
+            String session = open(world);
+            String batch = "[" + call(2, "orders.raise") + "," + call(3, "columns.find") + "]";
+            try (Stream one = new Stream(world, "POST", session, call(1, "orders.raise"), "");
+                    Stream two = new Stream(world, "POST", session, batch, "")) {
+                for (int i = 0; i < 3; i++) take(calls);
+                assertThat(send(world, "DELETE", session, "cyngor-glannau", null)
+                                .statusCode())
+                        .isEqualTo(204);
+                assertThat(one.next()).contains("\"id\":1,", "-32003", "\"mayHaveRun\":true");
+                assertThat(one.next()).isNull();
+                assertThat(two.next()).contains("\"id\":2,", "\"id\":3,", "-32003");
+                assertThat(two.next()).isNull();
+            }
+            await("nothing is open", () -> world.gateway.openRequests() == 0);
+            world.gateway.drain();
+            assertTimeoutPreemptively(Duration.ofSeconds(5), () -> world.gateway.join());
+        }
+    }
+
     @Test
     void aClientErrorFromAToolServerDoesNotCountAgainstItsHealth() throws Exception {
         AtomicInteger effects = new AtomicInteger();
