--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -21,10 +21,10 @@
     private static final int MAX_REPLAY_MESSAGES = 128; // buffered for a client that resumes
     private static final int MAX_REPLAY_CHARS = 64 * 1024;
     private static final int PAUSE_BYTES = 64 * 1024; // unsent bytes from which streams are paused
-    private static final int MAX_UNSENT_BYTES = 1024 * 1024; // beyond which the connection is closed
 
     private final long number;
     private final ReplayBuffer replay;
+    private final UnsentLimit unsentLimit;
     private final Runnable onWritable;
     private final Runnable onConnectionEnded;
     private String immediateResponse;
@@ -39,9 +39,15 @@
      * @param onWritable called when a slow client can take more
      * @param onConnectionEnded called when a connection has ended, before the stream or after its last message
      */
-    EventStream(long number, ReplayBuffer.Budget budget, Runnable onWritable, Runnable onConnectionEnded) {
+    EventStream(
+            long number,
+            ReplayBuffer.Budget budget,
+            UnsentLimit unsentLimit,
+            Runnable onWritable,
+            Runnable onConnectionEnded) {
         this.number = number;
         this.replay = new ReplayBuffer(MAX_REPLAY_MESSAGES, MAX_REPLAY_CHARS, budget);
+        this.unsentLimit = unsentLimit;
         this.onWritable = onWritable;
         this.onConnectionEnded = onConnectionEnded;
     }
@@ -133,7 +139,7 @@
 
     @Override
     public boolean isSlow() {
-        return connection != null && connection.unsentBytes > PAUSE_BYTES;
+        return connection != null && connection.account.bytes() > PAUSE_BYTES;
     }
 
     @Override
@@ -146,7 +152,7 @@
         private final HttpServerExchange exchange;
         private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
         private StreamSinkChannel channel;
-        private int unsentBytes;
+        private final UnsentLimit.Account account = unsentLimit.open();
         private boolean completed;
         private boolean closed;
 
@@ -169,10 +175,12 @@
                 channel.getWriteSetter().set(c -> writeUnsent());
             }
             ByteBuffer encoded = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
-            unsentBytes += encoded.remaining();
+            if (!account.tryAdd(encoded.remaining())) {
+                onDisconnected();
+                return;
+            }
             unsent.add(encoded);
-            if (unsentBytes > MAX_UNSENT_BYTES) onDisconnected();
-            else writeUnsent();
+            writeUnsent();
         }
 
         void complete() {
@@ -184,6 +192,7 @@
         void close() {
             if (closed) return;
             closed = true;
+            dropUnsent();
             IoUtils.safeClose(exchange.getConnection());
         }
 
@@ -192,11 +201,11 @@
                 flush();
                 return;
             }
-            boolean wasSlow = unsentBytes > PAUSE_BYTES / 2;
+            boolean wasSlow = account.bytes() > PAUSE_BYTES / 2;
             try {
                 while (!unsent.isEmpty()) {
                     int count = channel.write(unsent.peek());
-                    unsentBytes -= count;
+                    account.onSent(count);
                     if (!unsent.peek().hasRemaining()) unsent.poll();
                     else if (count == 0) break;
                 }
@@ -215,7 +224,7 @@
                 onDisconnected();
                 return;
             }
-            if (wasSlow && unsentBytes <= PAUSE_BYTES / 2) onWritable.run();
+            if (wasSlow && account.bytes() <= PAUSE_BYTES / 2) onWritable.run();
         }
 
         private void flush() {
@@ -227,9 +236,15 @@
             }
         }
 
+        private void dropUnsent() {
+            unsent.clear();
+            account.close();
+        }
+
         private void onDisconnected() {
             if (closed) return;
             closed = true;
+            dropUnsent();
             IoUtils.safeClose(exchange.getConnection());
             if (connection == this) connection = null;
             // Paused streams resume: the replay buffers what fits, and a resumption reports if messages were dropped.
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -43,6 +43,7 @@
     private final EventLoop loop;
     private final int maxBodyBytes;
     private final Metrics metrics;
+    private final UnsentLimit unsentLimit;
     private final ReplayBuffer.Budget budget = new ReplayBuffer.Budget(MAX_REPLAY_CHARS);
     private final Map<String, HttpSession> sessions = new LinkedHashMap<>();
     private final List<HttpSession> singleUse = new ArrayList<>();
@@ -65,8 +66,8 @@
 
         EventStream openStream() {
             lastUsedMs = loop.nowMs();
-            EventStream stream =
-                    new EventStream(++lastStreamNumber, budget, session::onClientWritable, this::onConnectionEnded);
+            EventStream stream = new EventStream(
+                    ++lastStreamNumber, budget, unsentLimit, session::onClientWritable, this::onConnectionEnded);
             streams.put(stream.number(), stream);
             int finished = (int)
                     streams.values().stream().filter(EventStream::finished).count();
@@ -97,7 +98,14 @@
         }
     }
 
-    HttpSessions(ToolsConfig config, Session.Dispatcher dispatcher, EventLoop loop, int maxBodyBytes, Metrics metrics) {
+    HttpSessions(
+            ToolsConfig config,
+            Session.Dispatcher dispatcher,
+            EventLoop loop,
+            int maxBodyBytes,
+            UnsentLimit unsentLimit,
+            Metrics metrics) {
+        this.unsentLimit = unsentLimit;
         this.metrics = metrics;
         this.config = config;
         this.dispatcher = dispatcher;
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -38,6 +38,7 @@
     private final ToolMethods toolMethods;
     private final AnswerMethods answerMethods;
     private final Lifecycle lifecycle;
+    private final UnsentLimit unsentLimit;
     private final HttpSessions httpSessions;
     private final Set<Session> sessions = new HashSet<>();
     private final Map<WebSocketChannel, WebSocketReceiver> receivers = new HashMap<>();
@@ -61,7 +62,8 @@
         this.lifecycle = lifecycle;
         this.loop = loop;
         this.metrics = metrics;
-        this.httpSessions = new HttpSessions(config, this, loop, MAX_MESSAGE_BYTES, metrics);
+        this.unsentLimit = UnsentLimit.ofHeap(Runtime.getRuntime().maxMemory());
+        this.httpSessions = new HttpSessions(config, this, loop, MAX_MESSAGE_BYTES, unsentLimit, metrics);
     }
 
     /** Replaces the names of the platform's classes and tenants. */
@@ -115,7 +117,7 @@
 
     private void openWebSocket(WebSocketChannel channel, int team, UpgradedConnection connection) {
         Session session = new Session(team, this, config.handshake());
-        WebSocketReceiver receiver = new WebSocketReceiver(channel, session, connection, loop, metrics);
+        WebSocketReceiver receiver = new WebSocketReceiver(channel, session, connection, unsentLimit, loop, metrics);
         connection.setHandler(receiver, config.sessionIdleMs());
         sessions.add(session);
         receivers.put(channel, receiver);
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -38,6 +38,7 @@
     private final UpgradedConnection connection;
     private final EventLoop loop;
     private final Metrics metrics;
+    private final UnsentLimit.Account unsent;
     private final MessageSender sender;
     private final MemoryBudget.Reservation memory; // of a message that is being received
     private final WebSocketFrameTracker frameTracker = new WebSocketFrameTracker();
@@ -53,7 +54,12 @@
 
     /** Creates a receiver; it receives once it is set as the channel's listener. */
     WebSocketReceiver(
-            WebSocketChannel channel, Session session, UpgradedConnection connection, EventLoop loop, Metrics metrics) {
+            WebSocketChannel channel,
+            Session session,
+            UpgradedConnection connection,
+            UnsentLimit unsentLimit,
+            EventLoop loop,
+            Metrics metrics) {
         this.channel = channel;
         this.session = session;
         this.connection = connection;
@@ -61,7 +67,8 @@
         this.metrics = metrics;
         this.memory = connection.reserveMemory();
         this.lastUsedMs = loop.nowMs();
-        this.sender = new WebSocketSender(channel, session, this::receivePending);
+        this.unsent = unsentLimit.open();
+        this.sender = new WebSocketSender(channel, session, unsent, this::receivePending);
         connection.filterInput(this::onInput);
     }
 
@@ -184,9 +191,10 @@
         message = Optional.empty();
     }
 
-    /** Frees the memory of a message that was received in part: the channel has closed. */
+    /** Frees what a message that was received in part and unsent ones hold: the channel has closed. */
     void onClosed() {
         dropMessage();
+        unsent.close();
         failed = true;
     }
 
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
@@ -8,16 +8,16 @@
 /** Sends messages over a client's WebSocket, one per text frame. */
 final class WebSocketSender implements MessageSender {
     private static final int PAUSE_CHARS = 64 * 1024; // unsent characters from which streams are paused
-    private static final int MAX_UNSENT_CHARS = 1024 * 1024; // beyond which the WebSocket is closed
 
     private final WebSocketChannel channel;
     private final Session session;
+    private final UnsentLimit.Account unsent; // in characters
     private final Runnable receivePending;
-    private int unsentChars;
     private boolean closed;
 
     /** Creates a sender; {@code receivePending} processes the messages that are available on the channel. */
-    WebSocketSender(WebSocketChannel channel, Session session, Runnable receivePending) {
+    WebSocketSender(WebSocketChannel channel, Session session, UnsentLimit.Account unsent, Runnable receivePending) {
+        this.unsent = unsent;
         this.channel = channel;
         this.session = session;
         this.receivePending = receivePending;
@@ -37,16 +37,15 @@
     public void sendResponse(String message) {
         if (closed) return;
         int size = message.length();
-        unsentChars += size;
-        if (unsentChars > MAX_UNSENT_CHARS) {
+        if (!unsent.tryAdd(size)) {
             close();
             return;
         }
         WebSockets.sendText(message, channel, new WebSocketCallback<Void>() {
             @Override
             public void complete(WebSocketChannel done, Void none) {
-                unsentChars -= size;
-                if (unsentChars <= PAUSE_CHARS / 2) session.onClientWritable();
+                unsent.onSent(size);
+                if (unsent.bytes() <= PAUSE_CHARS / 2) session.onClientWritable();
             }
 
             @Override
@@ -58,7 +57,7 @@
 
     @Override
     public boolean isSlow() {
-        return unsentChars > PAUSE_CHARS;
+        return unsent.bytes() > PAUSE_CHARS;
     }
 
     private void close() {
