SIGHUP: contracts, tools and budgets of the tools file are in force, or it is rejected

Cause: of a new tools file only Consul's address was taken over, and any readable file counted as loaded.

Fix: contracts, tools and budgets are taken over in one turn of the loop for new calls, through the same ways as the platform's settings. What a running process can't take over (services, teams' and contracts' names, where it listens, how sessions work) has the file rejected with its key, as the configuration file has it.

--- a/src/main/java/maplerail/config/ToolsConfig.java
+++ b/src/main/java/maplerail/config/ToolsConfig.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import maplerail.core.AdmissionLimits;
 import maplerail.routing.EngineRole;
@@ -137,6 +138,29 @@
         return new ConfigException(name.path() + ": unknown value '" + name.text() + "'");
     }
 
+    /**
+     * Checks that a running process can take over the next file: addresses of Consul, tools, contracts and budgets may change.
+     *
+     * @throws ConfigException naming the first key that may not
+     */
+    public void requireReloadable(ToolsConfig next) {
+        requireSame("listen", listen, next.listen);
+        requireSame("path", path, next.path);
+        requireSame("handshake", handshake, next.handshake);
+        requireSame("session_idle_ms", sessionIdleMs, next.sessionIdleMs);
+        requireSame("services", services, next.services);
+        requireSame("contracts", names(contracts, Contract::name), names(next.contracts, Contract::name));
+        requireSame("teams", names(teams, Team::name), names(next.teams, Team::name));
+    }
+
+    private static <T> List<String> names(List<T> all, Function<T, String> name) {
+        return all.stream().map(name).toList();
+    }
+
+    private static void requireSame(String key, Object inForce, Object next) {
+        if (!inForce.equals(next)) throw new ConfigException("tools." + key + ": may change at a start only");
+    }
+
     /** What callers may ask for. */
     public AdmissionLimits budgets(int maxOpen) {
         return new AdmissionLimits(
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -36,7 +36,8 @@
     private static final int OTHER_TEAMS_DIVISOR = 4; // this part of all connections
 
     private final ToolsConfig config;
-    private final ToolMethods toolMethods;
+    private final Map<String, Broker> toolBrokers;
+    private ToolMethods toolMethods;
     private final AnswerMethods answerMethods;
     private final Lifecycle lifecycle;
     private final UnsentLimit unsentLimit;
@@ -58,6 +59,7 @@
             EventLoop loop,
             Metrics metrics) {
         this.config = config;
+        this.toolBrokers = toolBrokers;
         this.toolMethods = new ToolMethods(config, toolBrokers, loop);
         this.answerMethods = new AnswerMethods(platformBroker, names);
         this.lifecycle = lifecycle;
@@ -72,6 +74,11 @@
         answerMethods.updateNames(names);
     }
 
+    /** Replaces the tools and contracts for new calls. */
+    public void updateTools(ToolsConfig next) {
+        toolMethods = new ToolMethods(next, toolBrokers, loop);
+    }
+
     /** Sets the manager of this front's client connections. */
     public void setConnections(ConnectionManager manager) {
         connections = manager;
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -330,10 +330,15 @@
         broker.changeSettings(peers.adjust(config.settings()), config.names().classes());
     }
 
-    /** The same from the operator's file for tool calls: where Consul is. */
+    /**
+     * The same from the operator's file for tool calls.
+     *
+     * @throws maplerail.config.ConfigException if something has changed that a running process can't take over; nothing is
+     */
     public void reload(ToolsConfig next) {
+        tools.ifPresent(front -> front.requireReloadable(next));
         loop.execute(() -> {
-            tools.ifPresent(front -> front.services().reload(next));
+            tools.ifPresent(front -> front.reload(next));
             metrics.reloaded(true);
         });
     }
--- a/src/main/java/maplerail/server/ToolGateway.java
+++ b/src/main/java/maplerail/server/ToolGateway.java
@@ -72,6 +72,17 @@
                 (onAccept, options) -> IoThreadListener.open(worker, config.listen(), onAccept, options));
     }
 
+    /** Checks that {@link #reload} can take a file over. */
+    void requireReloadable(ToolsConfig next) {
+        config.requireReloadable(next);
+    }
+
+    /** Takes what may change while it runs from a new file; called on the loop. */
+    void reload(ToolsConfig next) {
+        services.reload(next);
+        front.updateTools(next);
+    }
+
     /** A drain has begun; called on the loop. */
     void onDrainBegun() {
         listener.onDrainBegun();
--- a/src/main/java/maplerail/server/ToolServices.java
+++ b/src/main/java/maplerail/server/ToolServices.java
@@ -36,6 +36,7 @@
     private static final long CONSUL_DRAWS = 0x5851f42d4c957f2dL; // keeps them apart from the module's
 
     private final ToolsConfig config;
+    private final AdmissionStage admission;
     private final XnioEventLoop loop;
     private final long seed;
     private final ConnectionPool pool;
@@ -57,9 +58,8 @@
         this.seed = seed;
         this.pool = new ConnectionPool(loop, buffers, IDLE_MS, CONNECT_MS, mostConnections);
         RoutingSettings settings = config.settings(seed);
-        AdmissionStage admit =
-                new AdmissionStage(config.budgets(MOST_OPEN), memory, loop, new SplittableRandom(~seed), metrics);
-        admit.rejectWhile(drain::isRejecting);
+        admission = new AdmissionStage(config.budgets(MOST_OPEN), memory, loop, new SplittableRandom(~seed), metrics);
+        admission.rejectWhile(drain::isRejecting);
         for (String name : config.services().keySet()) {
             ToolClient client = new ToolClient(pool);
             clients.put(name, client);
@@ -68,17 +68,22 @@
                     new Broker(
                             new D2lpmPolicy(settings),
                             settings,
-                            admit,
+                            admission,
                             loop,
                             client,
                             line -> LOG.info("{}: {}", name, line),
                             metrics,
-                            config.contracts().stream()
-                                    .map(contract -> name + "." + contract.name())
-                                    .toList()));
+                            classNames(name)));
         }
     }
 
+    /** The names of a service's classes: its contracts, whose names stay the same. */
+    private List<String> classNames(String service) {
+        return config.contracts().stream()
+                .map(contract -> service + "." + contract.name())
+                .toList();
+    }
+
     Map<String, Broker> brokers() {
         return brokers;
     }
@@ -96,9 +101,12 @@
         watch.start();
     }
 
-    /** Takes what may change while it runs from a new file: where Consul is. */
+    /** Takes what may change while it runs from a new file: where Consul is, contracts and budgets; for new calls. */
     void reload(ToolsConfig news) {
         if (watch != null && news.consul() != null) watch.redirect(news.consul());
+        admission.changeLimits(news.budgets(MOST_OPEN));
+        RoutingSettings settings = news.settings(seed);
+        brokers.forEach((name, broker) -> broker.changeSettings(settings, classNames(name)));
     }
 
     private static EngineList listed(List<InetSocketAddress> servers) {
--- a/src/test/java/maplerail/server/RetuneTest.java
+++ b/src/test/java/maplerail/server/RetuneTest.java
@@ -10,8 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import maplerail.config.ConfigException;
 import maplerail.config.NodeConfig;
+import maplerail.config.ToolsConfig;
+import maplerail.support.RawWebSocket;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.Test;
@@ -125,4 +128,59 @@
             return -2;
         }
     }
+
+    private static final String TOOLS = """
+            {"listen":"127.0.0.1:0","services":{"records":{"path":"/tool","servers":["%s","%s"]}},
+             "contracts":{"raise":{"repeat":"%s","deadline_ms":5000,"most_argument_bytes":1000,"most_reply_bytes":1000}},
+             "tools":{"orders.raise":{"service":"records","contract":"raise"}},
+             "teams":{"cyngor-glannau":{"calls_per_s":1000,"calls_in_flight":1000}}}""";
+
+    /** Guards against orders that run twice, as a contract that forbids it is counted as loaded and is not in force. */
+    @Test
+    void aChangedContractIsInForceForNewCalls() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        StandIn.Handler breaking = x -> {
+            runs.incrementAndGet();
+            x.reset();
+        };
+        try (StandIn one = new StandIn(breaking);
+                StandIn two = new StandIn(breaking);
+                World world = new World().admin().start(TOOLS.formatted(one.address(), two.address(), "pure"));
+                RawWebSocket client = new RawWebSocket(world.gateway.rpcAddress(), "cyngor-glannau")) {
+            String call =
+                    "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"tools/call\",\"params\":{\"name\":\"orders.raise\"}}";
+            client.sendText(call);
+            assertThat(client.receiveText()).contains("error");
+            assertThat(runs.getAndSet(0)).as("safe to repeat").isGreaterThan(1);
+            long loaded = world.figure("conf_loaded");
+            world.gateway.reload(ToolsConfig.read(TOOLS.formatted(one.address(), two.address(), "side_effect")));
+            client.sendText("{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"ping\"}");
+            assertThat(client.receiveText()).contains("\"id\":2");
+            client.sendText(call);
+            assertThat(client.receiveText()).contains("-32001", "\"mayHaveRun\":true");
+            assertThat(runs).hasValue(1);
+            assertThat(world.figure("conf_loaded")).isEqualTo(loaded + 1);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
+            "path":"/tool"     | "path":"/other"      | tools.services: may change at a start only
+            "listen"           | "path":"/x","listen" | tools.path: may change at a start only
+            "cyngor-glannau"   | "cyngor-bryniau"     | tools.teams: may change at a start only
+            raise"             | lower"               | tools.contracts: may change at a start only
+            """)
+    void aToolsFileThatChangesMoreThanARunningProcessTakesOverIsRejected(String right, String wrong, String said)
+            throws Exception {
+        try (StandIn tool = new StandIn(x -> x.reply(200, "{}"));
+                World world = new World().admin().start(TOOLS.formatted(tool.address(), tool.address(), "pure"))) {
+            long loaded = world.figure("conf_loaded");
+            String next =
+                    TOOLS.formatted(tool.address(), tool.address(), "pure").replace(right, wrong);
+            assertThatThrownBy(() -> world.gateway.reload(ToolsConfig.read(next)))
+                    .isInstanceOf(ConfigException.class)
+                    .hasMessageContaining(said);
+            assertThat(world.figure("conf_loaded")).isEqualTo(loaded);
+        }
+    }
 }
