Streams are whole only with the event that ends them

Cause: the transport took the end of the body's framing for the end of the stream.

Change: StreamEndDetector follows the events of a stream; without [DONE] as the last event with data the attempt is reset and the client's connection ends without the last chunk (counted: streams_without_end). A stream that has ended is not offered to another process, which could not know of it. The same mistake in ToolClient: a tool's event stream that ended without its final response counted as answered.

--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -42,6 +42,8 @@
     STREAMS_REFUSED,
     STREAMS_HANDED_ON,
     STREAMS_KEPT,
+    /** Streams of engines that ended in good order without the event that ends a stream; they are broken off. */
+    STREAMS_WITHOUT_END,
     /** Requests refused because the process sends its clients away, and for lack of memory. */
     REQUESTS_REFUSED_DRAINING,
     REQUESTS_REFUSED_MEMORY,
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -162,9 +162,10 @@
     }
 
     /** Passes an engine's response to an observer as events and an outcome. */
-    private static class EngineResponseHandler implements ResponseHandler {
+    private class EngineResponseHandler implements ResponseHandler {
         private final AttemptObserver observer;
         private final EventSplitter eventSplitter = new EventSplitter();
+        private final StreamEndDetector streamEnd = new StreamEndDetector();
         private final ByteArrayOutputStream bodyBytes = new ByteArrayOutputStream();
         private AttemptOutcome outcome;
         private boolean framed;
@@ -205,7 +206,7 @@
         @Override
         public void onBody(ByteBuffer piece) {
             if (outcome == AttemptOutcome.COMPLETED) {
-                if (!eventSplitter.feed(piece, observer::onEvent)) framed = false;
+                if (!eventSplitter.feed(piece, this::onEvents)) framed = false;
             } else if (bodyBytes.size() < MAX_TEXT_BYTES) {
                 while (piece.hasRemaining()) bodyBytes.write(piece.get());
             }
@@ -217,15 +218,30 @@
                 observer.onInvalidRequest();
                 return;
             }
-            if (outcome == AttemptOutcome.COMPLETED && framed && eventSplitter.partialEventBytes().length > 0)
-                observer.onEvent(eventSplitter.partialEventBytes());
-            observer.onEnded(
-                    outcome == AttemptOutcome.COMPLETED && !framed ? AttemptOutcome.RESET : outcome, cachedTokens());
+            if (outcome == AttemptOutcome.COMPLETED) endStream();
+            else observer.onEnded(outcome, cachedTokens());
+        }
+
+        private void onEvents(byte[] events) {
+            streamEnd.accept(events);
+            observer.onEvent(events);
+        }
+
+        private void endStream() {
+            byte[] remainder = eventSplitter.partialEventBytes();
+            boolean whole = framed && streamEnd.isWhole(remainder);
+            if (whole && remainder.length > 0) observer.onEvent(remainder);
+            if (framed && !whole) metrics.count(EventCount.STREAMS_WITHOUT_END);
+            observer.onEnded(whole ? AttemptOutcome.COMPLETED : AttemptOutcome.RESET, 0);
         }
 
         @Override
         public boolean isBetweenEvents() {
-            return outcome == AttemptOutcome.COMPLETED && framed && eventSplitter.partialEventBytes().length == 0;
+            // A stream that has ended is not handed to another process, which would not know that its end has passed.
+            return outcome == AttemptOutcome.COMPLETED
+                    && framed
+                    && !streamEnd.isEnded()
+                    && eventSplitter.partialEventBytes().length == 0;
         }
 
         private double cachedTokens() {
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -148,8 +148,9 @@
                 observer.onInvalidRequest();
                 return;
             }
-            boolean complete = outcome == AttemptOutcome.COMPLETED && framed;
-            if (complete && !streaming) observer.onEvent(bodyBytes.toByteArray());
+            // A stream that has its final response never comes here: its call was ended with it.
+            boolean complete = outcome == AttemptOutcome.COMPLETED && framed && !streaming;
+            if (complete) observer.onEvent(bodyBytes.toByteArray());
             observer.onEnded(outcome == AttemptOutcome.COMPLETED && !complete ? AttemptOutcome.RESET : outcome, 0);
         }
 
--- a/src/test/java/maplerail/support/StandIn.java
+++ b/src/test/java/maplerail/support/StandIn.java
@@ -176,6 +176,12 @@
             write("0\r\n\r\n");
         }
 
+        /** Ends a stream as whole streams end: with its last event and the last chunk. */
+        public void endStream() throws IOException {
+            chunk("data: [DONE]\n\n");
+            last();
+        }
+
         /** Ends the connection with a reset. */
         public void reset() throws IOException {
             socket.setSoLinger(true, 0);
