Slow streams are served: 4.8 s without an event, and no limit for the parts of one

Change: the default is 4.8 s (5 s less what a process may be held up), also for streams that another process began. A response that streams is limited by its events alone; other heads and chunks are limited by 2 s without any byte instead of 2 s in all, so that what comes slowly is read.

--- a/src/main/java/maplerail/core/RequestPayload.java
+++ b/src/main/java/maplerail/core/RequestPayload.java
@@ -7,8 +7,11 @@
         return false;
     }
 
-    /** The default of {@link #stallTimeoutMs()}. */
-    double DEFAULT_STALL_TIMEOUT_MS = 3_000;
+    /**
+     * The default of {@link #stallTimeoutMs()}. A client must not wait for 5 s after an engine's last event; until then
+     * an engine that writes slowly is not broken. The rest is for a process that is held up.
+     */
+    double DEFAULT_STALL_TIMEOUT_MS = 4_800;
 
     /** The maximum time between two events of a stream before it counts as broken, in milliseconds. */
     default double stallTimeoutMs() {
--- a/src/main/java/maplerail/net/Call.java
+++ b/src/main/java/maplerail/net/Call.java
@@ -16,7 +16,7 @@
 /** One HTTP request on one connection. It is never written a second time, even if its connection fails. */
 public final class Call {
     private static final Logger LOG = LoggerFactory.getLogger(Call.class);
-    private static final double UNIT_TIMEOUT_MS = 2_000; // for the rest of a head or chunk that has begun
+    private static final double PART_TIMEOUT_MS = 2_000; // without any byte of a head or chunk that has begun
 
     private final ConnectionPool pool;
     private final ClientRequest request;
@@ -34,7 +34,6 @@
     private boolean reading;
     private boolean failing;
     private boolean done;
-    private int lastCompletedUnits;
     private String connectionLabel = "none";
     private double connectionOpenedMs = Double.NEGATIVE_INFINITY;
     private double connectionLastResponseMs = Double.NEGATIVE_INFINITY;
@@ -231,14 +230,16 @@
         reading = true;
         try (PooledByteBuffer pooled = pool.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
+            boolean hasProgress = false;
             while (!done && !paused) {
                 buffer.clear();
                 int count = pooledConnection.connection.getSourceChannel().read(buffer);
                 if (count == 0) {
                     pooledConnection.connection.getSourceChannel().resumeReads();
-                    updateUnitTimeout();
+                    if (hasProgress) restartPartTimeout();
                     return;
                 }
+                hasProgress = true;
                 if (count > 0) parser.feed(buffer.flip());
                 if (done) return;
                 if (count < 0 && !parser.onEndOfInput())
@@ -255,12 +256,11 @@
         }
     }
 
-    /** Limits the time for the rest of a head or chunk, as nothing else reports a response that stalls within one. */
-    private void updateUnitTimeout() {
-        if (!parser.isWithinUnit() || parser.completedUnits() != lastCompletedUnits) cancelTimeout();
-        lastCompletedUnits = parser.completedUnits();
-        if (parser.isWithinUnit() && timeoutTimer == null)
-            timeoutTimer = pool.loop().schedule(pool.loop().nowMs() + UNIT_TIMEOUT_MS, this::fail);
+    /** Limits the time without a byte of a head or chunk that has begun, as nothing else reports that it stalls. */
+    private void restartPartTimeout() {
+        cancelTimeout();
+        if (parser.isWithinUnit() && handler.isLimitedByParts())
+            timeoutTimer = pool.loop().schedule(pool.loop().nowMs() + PART_TIMEOUT_MS, this::fail);
     }
 
     private void cancelTimeout() {
--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -203,6 +203,12 @@
             if (!call.isDone()) call.fail();
         }
 
+        /** The broker limits a stream by its events: the parts of an event may be written slowly. */
+        @Override
+        public boolean isLimitedByParts() {
+            return outcome != AttemptOutcome.COMPLETED;
+        }
+
         @Override
         public void onBody(ByteBuffer piece) {
             if (outcome == AttemptOutcome.COMPLETED) {
--- a/src/main/java/maplerail/net/ResponseHandler.java
+++ b/src/main/java/maplerail/net/ResponseHandler.java
@@ -19,6 +19,14 @@
     /** Called when the status line and headers have arrived. */
     void onHead(int status, HeaderMap headers);
 
+    /**
+     * True if a head or chunk of which no byte arrives for a while counts as broken; false while the handler's owner limits
+     * the time itself.
+     */
+    default boolean isLimitedByParts() {
+        return true;
+    }
+
     /** Called for each piece of the body; the buffer is valid only during the call. */
     void onBody(ByteBuffer piece);
 
--- a/src/main/java/maplerail/net/ResponseParser.java
+++ b/src/main/java/maplerail/net/ResponseParser.java
@@ -44,7 +44,6 @@
     private long remainingBytes;
     private boolean keepAlive;
     private boolean unitStarted;
-    private int completedUnits;
 
     ResponseParser(ResponseHandler handler) {
         this.handler = handler;
@@ -94,11 +93,6 @@
         return unitStarted && state != ParseState.DONE;
     }
 
-    /** The number of heads and chunks that have been received completely. */
-    int completedUnits() {
-        return completedUnits;
-    }
-
     /** Ignores the rest of the response. */
     void stop() {
         state = ParseState.DONE;
@@ -161,7 +155,6 @@
     }
 
     private void onUnitCompleted() {
-        completedUnits++;
         unitStarted = false;
         headBytes = 0;
     }
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -104,6 +104,12 @@
             framed = headers.contains(Headers.TRANSFER_ENCODING) || headers.contains(Headers.CONTENT_LENGTH);
         }
 
+        /** The broker limits a stream by its messages, and any other response by the call's deadline. */
+        @Override
+        public boolean isLimitedByParts() {
+            return outcome != AttemptOutcome.COMPLETED;
+        }
+
         @Override
         public void onBody(ByteBuffer piece) {
             if (outcome != AttemptOutcome.COMPLETED) return;
--- a/src/main/java/maplerail/server/StreamAdoption.java
+++ b/src/main/java/maplerail/server/StreamAdoption.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import maplerail.core.Broker;
+import maplerail.core.RequestPayload;
 import maplerail.front.ConnectionManager;
 import maplerail.front.platform.ResumedResponse;
 import maplerail.metrics.EventCount;
@@ -34,7 +35,6 @@
 final class StreamAdoption implements Closeable {
     private static final Logger LOG = LoggerFactory.getLogger(StreamAdoption.class);
     private static final long DECISION_TIMEOUT_MS = 500; // for which an offer may wait for the loop
-    private static final double STALL_TIMEOUT_MS = 3_000; // as for any stream
 
     private final XnioWorker worker;
     private final XnioEventLoop loop;
@@ -168,7 +168,7 @@
                 stream.requestClass(),
                 stream.requestId(),
                 answer,
-                STALL_TIMEOUT_MS,
+                RequestPayload.DEFAULT_STALL_TIMEOUT_MS,
                 observer -> engines.adoptStream(stream.engine(), fromEngine, observer)));
         metrics.count(EventCount.STREAMS_TAKEN_OVER);
         LOG.debug("stream adopted request={}", stream.requestId());
