--- a/src/test/java/maplerail/core/BrokerTest.java
+++ b/src/test/java/maplerail/core/BrokerTest.java
@@ -403,10 +403,11 @@
     }
 
     private void adoptStream() {
-        adoptedHandle = broker.adoptStream("b", "x", recordingObserver(), 3_000, observer -> {
-            sentAttempts.add(new SentAttempt(observer));
-            return sentAttempts.get(0);
-        });
+        adoptedHandle =
+                broker.adoptStream("b", "x", recordingObserver(), RequestPayload.DEFAULT_STALL_TIMEOUT_MS, observer -> {
+                    sentAttempts.add(new SentAttempt(observer));
+                    return sentAttempts.get(0);
+                });
     }
 
     private java.util.Map<String, Long> metricValues() {
