Answers of pipelined requests are sent at once, not with those behind them

Cause: the HTTP server was told to buffer answers while more input is there (BUFFER_PIPELINED_DATA), and its flush does nothing then. The option is off now; each such connection also held a buffer of 8 KiB.

Evidence: PlatformTest.anAnswerDoesNotWaitForTheRequestsBehindIt timed out after 20 s before the change and passes with it.

--- a/src/main/java/maplerail/server/FrontListener.java
+++ b/src/main/java/maplerail/server/FrontListener.java
@@ -67,7 +67,6 @@
                 OptionMap.builder()
                         .set(UndertowOptions.ALWAYS_SET_DATE, false)
                         .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                        .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
                         .getMap());
         ConnectionManager connections = new ConnectionManager(http, loop, maxConnections, drain, memory, metrics);
         http.setRootHandler(new RequestFraming(handler, connections, metrics));
--- a/src/test/java/maplerail/front/PlatformTest.java
+++ b/src/test/java/maplerail/front/PlatformTest.java
@@ -358,6 +358,27 @@
         }
     }
 
+    /** Guards against an answer that is held back until the requests sent behind it are answered too. */
+    @Test
+    void anAnswerDoesNotWaitForTheRequestsBehindIt() throws Exception {
+        BlockingQueue<StandIn.Exchange> streams = World.queue();
+        try (StandIn reader = World.reader();
+                StandIn writer = new StandIn(streams::add);
+                World world = new World()
+                        .engine("r", "prefill", reader)
+                        .engine("w", "decode", writer)
+                        .start();
+                Socket client = world.connect()) {
+            client.setSoTimeout(20_000);
+            String both = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n" + request("a1", "lookup", "60");
+            client.getOutputStream().write(both.getBytes(StandardCharsets.UTF_8));
+            StandIn.Exchange second = take(streams);
+            assertThat(new String(client.getInputStream().readNBytes(15), StandardCharsets.UTF_8))
+                    .isEqualTo("HTTP/1.1 200 OK");
+            second.reply(503, "", "Srv-Declined: 1");
+        }
+    }
+
     @Test
     void aRequestSentDuringAStreamIsServedNext() throws Exception {
         BlockingQueue<StandIn.Exchange> streams = World.queue();
