A client's end is looked for behind all that it sent, or no attempt begins

Cause: a client's end lies behind the requests that it sent early. 64 KiB of them were buffered to look for it; with more unread the end could not be seen, and that counted as a connected client.

Where it is unknown, as there is no room for what precedes its end, no attempt begins: the policy sees it as not sent, and decides; a POST to the second front is refused. Both fronts and the WebSocket. Counted: attempts_withheld.

The fixture waits 50 ms before it leaves, so that attempts have begun; before it closed at once.

--- a/src/main/java/maplerail/core/AbortReason.java
+++ b/src/main/java/maplerail/core/AbortReason.java
@@ -16,6 +16,8 @@
     ANOTHER_STREAMS,
     /** Its idempotency key has expired: engines no longer drop duplicates. */
     KEY_EXPIRED,
+    /** So much of its client's input was unread that a disconnect could not be detected. */
+    CLIENT_UNKNOWN,
     /** The state that it needs is being released. */
     STATE_RELEASED,
     /** A read had no response in the expected time; its reader may still reserve a state for it. */
--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Verdict;
 import maplerail.routing.AttemptOutcome;
@@ -65,13 +66,13 @@
         refreshEndpoints.run();
         RequestRecord record = registry.find(action.requestId());
         if (record == null) return;
-        checkClientConnected(record);
+        boolean clientKnown = checkClient(record);
         boolean readsPrompt = directory.isReader(action.engine());
         Attempt attempt = new Attempt(record, action.engine(), readsPrompt, loop.nowMs());
         record.attempts.add(attempt);
         double deadlineMs =
                 action.deadlineMs() > 0 ? Math.min(action.deadlineMs(), record.deadlineMs) : record.deadlineMs;
-        if (!isAllowed(attempt, deadlineMs)) {
+        if (!clientKnown || !isAllowed(attempt, deadlineMs)) {
             end(attempt, AttemptOutcome.NOT_SENT, 0);
         } else if (record.reservations.isExpired() && !readsPrompt) {
             end(attempt, AttemptOutcome.STATE_LOST, 0);
@@ -148,9 +149,16 @@
         awaitingCleanup.clear();
     }
 
-    /** Detects a client that has disconnected although the loop has not handled the event of its connection yet. */
-    private void checkClientConnected(RequestRecord record) {
-        if (!record.finished && !record.observer.isConnected()) onClientDisconnected(record);
+    /**
+     * Detects a client that has disconnected although the loop has not handled the event of its connection yet; false if it
+     * can't be known whether it has.
+     */
+    private boolean checkClient(RequestRecord record) {
+        if (record.finished) return true;
+        ClientPresence presence = record.observer.clientPresence();
+        if (presence == ClientPresence.DISCONNECTED) onClientDisconnected(record);
+        if (presence == ClientPresence.UNKNOWN) metrics.count(EventCount.ATTEMPTS_WITHHELD);
+        return presence != ClientPresence.UNKNOWN;
     }
 
     private void onEvent(Attempt attempt, byte[] event) {
@@ -283,7 +291,7 @@
 
         @Override
         public boolean isNeeded() {
-            checkClientConnected(attempt.record);
+            if (!checkClient(attempt.record)) abort(attempt, AttemptOutcome.CANCELLED, AbortReason.CLIENT_UNKNOWN);
             // Its idempotency key may have expired while the attempt waited for a connection.
             if (attempt.record.isKeyExpiredFor(attempt, loop.nowMs())) {
                 abort(attempt, AttemptOutcome.CANCELLED, AbortReason.KEY_EXPIRED);
--- a/src/main/java/maplerail/core/ResponseObserver.java
+++ b/src/main/java/maplerail/core/ResponseObserver.java
@@ -25,9 +25,9 @@
         DEADLINE
     }
 
-    /** False if the client has disconnected, even if that was not reported yet; then no attempt is started for it. */
-    default boolean isConnected() {
-        return true;
+    /** Looks for a disconnect, even if it was not reported yet: an attempt is started only for a connected client. */
+    default ClientPresence clientPresence() {
+        return ClientPresence.CONNECTED;
     }
 
     /** Receives an unmodified event; returns false to request a pause until the client is writable again. */
--- a/src/main/java/maplerail/front/DisconnectDetector.java
+++ b/src/main/java/maplerail/front/DisconnectDetector.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.util.function.BooleanSupplier;
+import maplerail.core.ClientPresence;
 
 /** Detects that a client closes its side while it waits for a response, even if it has sent further input before. */
 public final class DisconnectDetector {
@@ -33,6 +34,12 @@
         return conduit != null && conduit.pollEnd();
     }
 
+    /** Looks for a disconnect of the client, as far as its unread input can be buffered. */
+    public static ClientPresence clientPresence(HttpServerExchange exchange) {
+        ReadAheadConduit conduit = readAhead(exchange);
+        return conduit == null ? ClientPresence.CONNECTED : conduit.clientPresence();
+    }
+
     /** True if input after the request was received and is not read yet. */
     public static boolean hasUnreadInput(HttpServerExchange exchange) {
         ReadAheadConduit conduit = readAhead(exchange);
--- a/src/main/java/maplerail/front/ReadAheadConduit.java
+++ b/src/main/java/maplerail/front/ReadAheadConduit.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import maplerail.core.ClientPresence;
 import maplerail.core.MemoryBudget;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -11,9 +12,9 @@
  * before the loop processes the readable event.
  */
 final class ReadAheadConduit extends DecodingConduit {
-    private static final int MAX_BUFFERED_BYTES =
-            64 * 1024; // further input stays in the socket: back-pressure on the client
-    private static final int READ_BYTES = 1024;
+    private static final int READ_BYTES = 1024; // at first; more where more has come
+    private static final int MAX_READ_BYTES = 64 * 1024;
+    private static final int MAX_DISCARDED_BYTES = 64 * 1024; // at a time
     private static final int MAX_TURN_BYTES = 64 * 1024; // that are read in one turn, whatever the client sends
     private static final ByteBuffer EMPTY = ByteBuffer.allocate(0);
 
@@ -50,12 +51,10 @@
         if (discarding) return pollEndWhileDiscarding();
         int bufferedBefore = buffered.remaining();
         try {
-            while (!ended && buffered.remaining() < MAX_BUFFERED_BYTES && hasRoom()) {
-                ByteBuffer chunk = ByteBuffer.allocate(READ_BYTES);
-                int count = receive(chunk);
+            while (!ended && hasRoom()) {
+                int count = receiveIntoBuffer();
                 if (count < 0) ended = true;
                 if (count <= 0) break;
-                buffer(chunk.flip());
             }
         } catch (IOException e) {
             ended = true;
@@ -77,11 +76,19 @@
         resumeReads();
     }
 
-    /** Makes room for a read; without memory the input stays in the socket, as with a full buffer. */
+    /** Looks for the end of the input; unknown while the memory for what precedes it is used up. */
+    ClientPresence clientPresence() {
+        if (pollEnd()) return ClientPresence.DISCONNECTED;
+        return outOfMemory ? ClientPresence.UNKNOWN : ClientPresence.CONNECTED;
+    }
+
+    /** Makes room for a read; without memory the input stays in the socket: back-pressure on the client. */
     private boolean hasRoom() {
+        outOfMemory = false;
         if (buffered.capacity() - buffered.limit() >= READ_BYTES) return true;
-        int capacity = Math.max(2 * buffered.remaining(), buffered.remaining() + READ_BYTES);
-        outOfMemory = capacity > buffered.capacity() && !memory.tryGrow(capacity - buffered.capacity());
+        int more = Math.min(MAX_READ_BYTES, Math.max(READ_BYTES, buffered.remaining()));
+        int capacity = Math.max(buffered.remaining() + more, buffered.remaining() / 2 * 3);
+        outOfMemory = !reserve(capacity - buffered.capacity());
         if (outOfMemory) return false;
         buffered = ByteBuffer.allocate(Math.max(capacity, buffered.capacity()))
                 .put(buffered)
@@ -89,12 +96,28 @@
         return true;
     }
 
+    /** Reserves memory for a larger buffer; the first read always has some, so that a client's end is seen at least then. */
+    private boolean reserve(int moreBytes) {
+        if (moreBytes <= 0) return true;
+        if (buffered.capacity() > 0) return memory.tryGrow(moreBytes);
+        memory.grow(moreBytes);
+        return true;
+    }
+
     /** Frees the buffer of a connection that is not read any more. */
     void releaseMemory() {
         buffered = EMPTY;
         memory.release();
     }
 
+    private int receiveIntoBuffer() throws IOException {
+        int end = Math.min(buffered.capacity(), buffered.limit() + MAX_READ_BYTES);
+        ByteBuffer room = buffered.duplicate().limit(end).position(buffered.limit());
+        int count = receive(room);
+        if (count > 0) buffered.limit(room.position());
+        return count;
+    }
+
     private int receive(ByteBuffer into) throws IOException {
         int count = next.read(into);
         if (count > 0) receivedBytes += count;
@@ -121,7 +144,7 @@
 
     private int discardAvailable() throws IOException {
         ByteBuffer chunk = ByteBuffer.allocate(READ_BYTES);
-        for (int read = 0; !ended && read < MAX_BUFFERED_BYTES; read += chunk.position()) {
+        for (int read = 0; !ended && read < MAX_DISCARDED_BYTES; read += chunk.position()) {
             int count = next.read(chunk.clear());
             if (count < 0) ended = true;
             if (count <= 0) break;
@@ -129,12 +152,6 @@
         return ended ? -1 : 0;
     }
 
-    private void buffer(ByteBuffer chunk) {
-        int start = buffered.position();
-        buffered.position(buffered.limit()).limit(buffered.limit() + chunk.remaining());
-        buffered.put(chunk).position(start);
-    }
-
     /**
      * Passes the bytes that are read from now on through a filter. What it leaves in its buffer is discarded, with all
      * input behind it.
@@ -155,7 +172,7 @@
 
     /** True while the buffer can take no more input. */
     boolean isFull() {
-        return buffered.remaining() >= MAX_BUFFERED_BYTES || outOfMemory;
+        return outOfMemory;
     }
 
     /** True while the buffer contains unread bytes. */
--- a/src/main/java/maplerail/front/UpgradedConnection.java
+++ b/src/main/java/maplerail/front/UpgradedConnection.java
@@ -4,6 +4,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import maplerail.core.ClientPresence;
 import maplerail.core.MemoryBudget;
 
 /** A client connection that was upgraded from HTTP, as the component that took it over sees it. */
@@ -62,6 +63,11 @@
         return readAhead.pollEnd();
     }
 
+    /** Looks for a disconnect of the client, as far as its unread input can be buffered. */
+    public ClientPresence clientPresence() {
+        return readAhead.clientPresence();
+    }
+
     /** Discards all further input, so that a close does not reset the connection over unread bytes. */
     public void discardInput() {
         readAhead.discard();
--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
+import maplerail.core.ClientPresence;
 import maplerail.front.DisconnectDetector;
 import maplerail.rpc.ReplayBuffer;
 import org.xnio.IoUtils;
@@ -143,8 +144,11 @@
     }
 
     @Override
-    public void pollClient() {
-        if (connection != null && DisconnectDetector.isDisconnected(connection.exchange)) connection.onDisconnected();
+    public ClientPresence pollClient() {
+        if (connection == null) return ClientPresence.CONNECTED;
+        ClientPresence presence = DisconnectDetector.clientPresence(connection.exchange);
+        if (presence == ClientPresence.DISCONNECTED) connection.onDisconnected();
+        return presence;
     }
 
     /** A connection that the stream is sent on. */
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -157,13 +157,20 @@
         public void onBody(byte[] body) {
             connections.onRequestComplete(exchange);
             // The client may have disconnected while its messages waited for the loop.
-            if (DisconnectDetector.isDisconnected(exchange)) IoUtils.safeClose(exchange.getConnection());
-            else post(exchange, team, body);
+            switch (DisconnectDetector.clientPresence(exchange)) {
+                case CONNECTED -> post(exchange, team, body);
+                case DISCONNECTED -> IoUtils.safeClose(exchange.getConnection());
+                case UNKNOWN -> rejectForMemory();
+            }
         }
 
         @Override
         public void onNoMemory() {
             connections.onRequestComplete(exchange);
+            rejectForMemory();
+        }
+
+        private void rejectForMemory() {
             metrics.count(EventCount.REQUESTS_REFUSED_MEMORY);
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, "1");
             reject(exchange, 503, "no memory for the message");
--- a/src/main/java/maplerail/front/jsonrpc/RpcResponse.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcResponse.java
@@ -1,5 +1,6 @@
 package maplerail.front.jsonrpc;
 
+import maplerail.core.ClientPresence;
 import maplerail.core.ResponseObserver;
 
 /** Reports a request's rejection or failure as the JSON-RPC response to its message. */
@@ -11,8 +12,8 @@
     }
 
     @Override
-    public boolean isConnected() {
-        return pending.isConnected();
+    public ClientPresence clientPresence() {
+        return pending.clientPresence();
     }
 
     @Override
--- a/src/main/java/maplerail/front/jsonrpc/Session.java
+++ b/src/main/java/maplerail/front/jsonrpc/Session.java
@@ -7,6 +7,7 @@
 import maplerail.config.ConfigException;
 import maplerail.config.Json;
 import maplerail.config.Tree;
+import maplerail.core.ClientPresence;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
 import maplerail.rpc.BatchResponse;
@@ -80,8 +81,8 @@
             }
 
             @Override
-            public void pollClient() {
-                sender.pollClient();
+            public ClientPresence pollClient() {
+                return sender.pollClient();
             }
         };
         for (String message : messages) batch.expectResponses(receiveSingle(message, batchSender));
@@ -252,11 +253,14 @@
         }
 
         /**
-         * False if the client has disconnected or cancelled the request, even if the loop has not processed that yet.
+         * Looks whether the client has disconnected or cancelled the request, even if the loop has not processed that yet. A
+         * disconnect that ends no request, as its client may come again for the answer, does not count.
          */
-        boolean isConnected() {
-            if (!finished) sender.pollClient();
-            return !finished;
+        ClientPresence clientPresence() {
+            if (finished) return ClientPresence.DISCONNECTED;
+            ClientPresence presence = sender.pollClient();
+            if (finished) return ClientPresence.DISCONNECTED;
+            return presence == ClientPresence.UNKNOWN ? presence : ClientPresence.CONNECTED;
         }
 
         /** Sends an event of a streamed answer; false if the stream should pause for a slow client. */
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import maplerail.core.ClientPresence;
 import maplerail.core.EventLoop;
 import maplerail.core.MemoryBudget;
 import maplerail.front.BodyBuffer;
@@ -73,7 +74,7 @@
         this.memory = connection.reserveMemory();
         this.lastUsedMs = loop.nowMs();
         this.unsent = unsentLimit.open();
-        this.sender = new WebSocketSender(channel, session, unsent, this::receivePending);
+        this.sender = new WebSocketSender(channel, session, unsent, this::pollClient);
         connection.filterInput(this::onInput);
     }
 
@@ -123,6 +124,11 @@
         return true;
     }
 
+    private ClientPresence pollClient() {
+        receivePending();
+        return connection.clientPresence();
+    }
+
     /** Receives the frames that are available; false if there may be more. */
     private boolean receivePending() {
         endIfDisconnected();
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
@@ -3,6 +3,8 @@
 import io.undertow.websockets.core.WebSocketCallback;
 import io.undertow.websockets.core.WebSocketChannel;
 import io.undertow.websockets.core.WebSockets;
+import java.util.function.Supplier;
+import maplerail.core.ClientPresence;
 import org.xnio.IoUtils;
 
 /** Sends messages over a client's WebSocket, one per text frame. */
@@ -12,11 +14,15 @@
     private final WebSocketChannel channel;
     private final Session session;
     private final UnsentLimit.Account unsent; // in characters
-    private final Runnable receivePending;
+    private final Supplier<ClientPresence> receivePending;
     private boolean closed;
 
     /** Creates a sender; {@code receivePending} processes the messages that are available on the channel. */
-    WebSocketSender(WebSocketChannel channel, Session session, UnsentLimit.Account unsent, Runnable receivePending) {
+    WebSocketSender(
+            WebSocketChannel channel,
+            Session session,
+            UnsentLimit.Account unsent,
+            Supplier<ClientPresence> receivePending) {
         this.unsent = unsent;
         this.channel = channel;
         this.session = session;
@@ -24,8 +30,8 @@
     }
 
     @Override
-    public void pollClient() {
-        receivePending.run();
+    public ClientPresence pollClient() {
+        return receivePending.get();
     }
 
     @Override
--- a/src/main/java/maplerail/front/platform/PlatformResponse.java
+++ b/src/main/java/maplerail/front/platform/PlatformResponse.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Optional;
+import maplerail.core.ClientPresence;
 import maplerail.core.MemoryBudget;
 import maplerail.core.RequestHandle;
 import maplerail.core.ResponseObserver;
@@ -41,8 +42,8 @@
     }
 
     @Override
-    public boolean isConnected() {
-        return !DisconnectDetector.isDisconnected(exchange);
+    public ClientPresence clientPresence() {
+        return DisconnectDetector.clientPresence(exchange);
     }
 
     boolean finished() {
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -15,6 +15,8 @@
     ATTEMPTS_TIMEOUT,
     ATTEMPTS_CANCELLED,
     ATTEMPTS_NOT_SENT,
+    /** Attempts that were not begun as a disconnect of their client could not be detected behind its unread input. */
+    ATTEMPTS_WITHHELD,
     /** States that were reserved for as long as the settings allow, and released for that. */
     RESERVATIONS_OVERDUE,
     /** Releases begun, calls made for them, and those of which no engine has answered a call. */
--- a/src/test/java/maplerail/front/jsonrpc/SessionTest.java
+++ b/src/test/java/maplerail/front/jsonrpc/SessionTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import maplerail.core.ClientPresence;
 import maplerail.core.RequestHandle;
 import org.junit.jupiter.api.Test;
 
@@ -48,7 +49,9 @@
         }
 
         @Override
-        public void pollClient() {}
+        public ClientPresence pollClient() {
+            return ClientPresence.CONNECTED;
+        }
     }
 
     private static String request(int id, String method) {
--- a/src/test/java/maplerail/incident/LeftClientsIT.java
+++ b/src/test/java/maplerail/incident/LeftClientsIT.java
@@ -3,7 +3,9 @@
 import static maplerail.support.World.await;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -11,10 +13,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import maplerail.support.EngineLog;
+import maplerail.support.Flood;
 import maplerail.support.GatewayProcess;
 import maplerail.support.KeptConnection;
+import maplerail.support.RawWebSocket;
 import maplerail.support.StandIn;
 import maplerail.support.World;
 import org.junit.jupiter.api.AfterEach;
@@ -31,8 +40,18 @@
     private static final long RESET_AFTER_MS = 50;
     private static final long LEAVES_AFTER_MS = 50;
     private static final double GONE_MS = 100; // after a client's close, from which no attempt may begin
+    private static final String TEAM = "Req-Owner: cyngor-glannau\r\nAccept: application/json\r\n";
+    private static final String UPGRADE = "GET /rpc HTTP/1.1\r\nHost: x\r\n" + TEAM
+            + "Upgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+            + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
     private static final long WATCHED_MS = 3_000;
     private static final String CONFLICT = "HTTP/1.1 409";
+    private static final Pattern CALL_ID = Pattern.compile("\"id\":\"(left[^\"]*)\"");
+    private static final String TOOLS = """
+            {"listen":"127.0.0.1:0","services":{"records":{"path":"/tool","servers":["%s","%s"]}},
+             "contracts":{"find":{"repeat":"pure","deadline_ms":6000,"most_argument_bytes":250000,"most_reply_bytes":1000}},
+             "tools":{"columns.find":{"service":"records","contract":"find"}},
+             "teams":{"cyngor-glannau":{"calls_per_s":1000,"calls_in_flight":1000}}}""";
 
     @TempDir
     Path folder;
@@ -55,7 +74,10 @@
             engines.add(new StandIn(this::write));
             world.engine("w" + i, "decode", engines.get(engines.size() - 1));
         }
-        gateway = GatewayProcess.start(folder, world.config("127.0.0.1:0"), null);
+        for (int i = 0; i < 2; i++) engines.add(new StandIn(this::callTool));
+        String first = engines.get(engines.size() - 2).address();
+        String tools = TOOLS.formatted(first, engines.get(engines.size() - 1).address());
+        gateway = GatewayProcess.start(folder, world.config("127.0.0.1:0"), tools);
         port = gateway.port("listens on");
         for (int i = 0; i < 8; i++) assertThat(say("warm" + i, "lookup")).contains("[DONE]");
     }
@@ -101,6 +123,18 @@
         exchange.last();
     }
 
+    private void callTool(StandIn.Exchange exchange) throws Exception {
+        if (!enginesReset) {
+            exchange.reply(200, "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{}}");
+            return;
+        }
+        Matcher id = CALL_ID.matcher(exchange.body);
+        assertThat(id.find()).isTrue();
+        log.onAttempt(id.group(1));
+        TimeUnit.MILLISECONDS.sleep(RESET_AFTER_MS);
+        exchange.reset();
+    }
+
     private String say(String id, String kind) {
         return World.say(port, World.request(id, kind, "5.0").replaceFirst("\r\n", "\r\nConnection: close\r\n"));
     }
@@ -132,10 +166,57 @@
                 ids.add("left" + client + "-" + i);
                 all.append(request(ids.get(i), kind, bodyBytes));
             }
-            start(ids, all.toString().getBytes(StandardCharsets.UTF_8), leftMs);
+            start(port, ids, all.toString().getBytes(StandardCharsets.UTF_8), leftMs);
+        }
+        assertNothingBegins(leftMs);
+    }
+
+    /** Guards against the same at the second front, over HTTP and over a WebSocket. */
+    @ParameterizedTest
+    @CsvSource({"false, 40, 400", "false, 20, 20000", "false, 8, 200000", "true, 40, 400", "true, 20, 20000"})
+    void noToolCallBeginsOnceAClientHasLeftWithCallsUnread(boolean webSocket, int calls, int argumentBytes)
+            throws Exception {
+        warmUpTools();
+        enginesReset = true;
+        Map<String, Double> leftMs = new ConcurrentHashMap<>();
+        for (int client = 0; client < CLIENTS; client++) {
+            List<String> ids = new ArrayList<>();
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            if (webSocket) all.writeBytes(UPGRADE.getBytes(StandardCharsets.UTF_8));
+            for (int i = 0; i < calls; i++) {
+                ids.add("left" + client + "-" + i);
+                String call = call(i, ids.get(i), argumentBytes);
+                all.writeBytes(webSocket ? RawWebSocket.text(call) : Flood.post("/rpc", TEAM, call));
+            }
+            start(gateway.port("tool calls listen on"), ids, all.toByteArray(), leftMs);
         }
+        assertNothingBegins(leftMs);
+    }
+
+    private static String call(int number, String id, int argumentBytes) {
+        return "{\"jsonrpc\":\"2.0\",\"id\":" + number
+                + ",\"method\":\"tools/call\",\"params\":{\"name\":\"columns.find\",\"arguments\":{\"id\":\"" + id
+                + "\",\"a\":\"" + "x".repeat(argumentBytes) + "\"}}}";
+    }
+
+    private void warmUpTools() throws IOException {
+        int tools = gateway.port("tool calls listen on");
+        for (int i = 0; i < 8; i++) {
+            String post = new String(
+                    Flood.post("/rpc", TEAM + "Connection: close\r\n", call(i, "warm", 20)), StandardCharsets.UTF_8);
+            assertThat(World.say(tools, post)).contains("result");
+            try (RawWebSocket socket = new RawWebSocket(new InetSocketAddress("127.0.0.1", tools), "cyngor-glannau")) {
+                socket.sendText(call(i, "warm", 20));
+                assertThat(socket.receiveText()).contains("result");
+            }
+        }
+    }
+
+    private void assertNothingBegins(Map<String, Double> leftMs) throws InterruptedException {
         TimeUnit.MILLISECONDS.sleep(WATCHED_MS);
-        assertThat(leftMs).hasSize(CLIENTS * requests);
+        assertThat(leftMs.keySet().stream().mapToInt(log::attempts).sum())
+                .as("attempts in all")
+                .isPositive();
         List<String> begunAfter = new ArrayList<>();
         leftMs.forEach((id, left) -> {
             double afterMs = log.lastAttemptMs(id) - left;
@@ -146,9 +227,9 @@
                 .isEmpty();
     }
 
-    private void start(List<String> ids, byte[] all, Map<String, Double> leftMs) {
+    private static void start(int to, List<String> ids, byte[] all, Map<String, Double> leftMs) {
         Thread thread = new Thread(() -> {
-            try (Socket socket = new Socket("127.0.0.1", port)) {
+            try (Socket socket = new Socket("127.0.0.1", to)) {
                 Thread writing = new Thread(() -> {
                     try {
                         socket.getOutputStream().write(all);
@@ -157,7 +238,7 @@
                     }
                 });
                 writing.start();
-                writing.join(LEAVES_AFTER_MS);
+                TimeUnit.MILLISECONDS.sleep(LEAVES_AFTER_MS);
             } catch (IOException | InterruptedException e) {
                 throw new IllegalStateException(e);
             }
@@ -168,6 +249,26 @@
         thread.start();
     }
 
+    /** Guards against refusing sound clients that send many requests before they read an answer. */
+    @ParameterizedTest
+    @CsvSource({"lookup, 40, 400", "lookup, 20, 20000", "repair-order, 8, 100000"})
+    void requestsThatAreSentAheadOfTheirAnswersAreServed(String kind, int requests, int bodyBytes) throws Exception {
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        List<Future<String>> answers = new ArrayList<>();
+        for (int client = 0; client < CLIENTS; client++) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < requests; i++) {
+                String request = request("ahead" + client + "-" + i, kind, bodyBytes);
+                boolean isLast = i == requests - 1;
+                all.append(isLast ? request.replaceFirst("\r\n", "\r\nConnection: close\r\n") : request);
+            }
+            answers.add(clients.submit(() -> World.say(port, all.toString())));
+        }
+        for (Future<String> answer : answers)
+            assertThat(answer.get().split("\\[DONE\\]", -1)).hasSize(requests + 1);
+        clients.shutdown();
+    }
+
     /** Guards against an order that runs again as its id was forgotten when its client left. */
     @ParameterizedTest
     @CsvSource({"0", "50", "500", "2000"})
