What may have run is remembered after its client has gone, in both processes of an upgrade

Cause: an id was known only while its request was open. A client's leaving ends the request, and nothing of it stays; a process knew nothing of the other one on its listening socket.

Change: ExecutedRequests keeps the ids of requests with an effect that may have run, by each attempt's own outcome, for 10 minutes (16,384 at most, forgotten ones are counted); they get 409. In an upgrade both processes map a ring of claims in their common folder (SharedExecutionLog): a claim is published before the attempt is written, so that no message can come late, and withdrawn if the attempt certainly never ran. If the file can't be mapped, the process goes on with what it knows itself, and says so.

--- a/src/main/java/maplerail/core/AttemptDispatcher.java
+++ b/src/main/java/maplerail/core/AttemptDispatcher.java
@@ -18,6 +18,7 @@
     private final EventLoop loop;
     private final EngineDirectory directory;
     private final RequestRegistry registry;
+    private final ExecutedRequests executed;
     private final ReservationManager reservations;
     private final ResponseRelay relay;
     private final Metrics metrics;
@@ -32,6 +33,7 @@
             EventLoop loop,
             EngineDirectory directory,
             RequestRegistry registry,
+            ExecutedRequests executed,
             ReservationManager reservations,
             ResponseRelay relay,
             Metrics metrics,
@@ -40,6 +42,7 @@
         this.loop = loop;
         this.directory = directory;
         this.registry = registry;
+        this.executed = executed;
         this.reservations = reservations;
         this.relay = relay;
         this.metrics = metrics;
@@ -88,7 +91,7 @@
     private void send(Attempt attempt, double deadlineMs) {
         if (attempt.ended) return;
         RequestRecord record = attempt.record;
-        if (record.winner != null) {
+        if (record.winner != null || !attempt.readsPrompt && !executed.claim(record)) {
             end(attempt, AttemptOutcome.NOT_SENT, 0);
             return;
         }
--- a/src/main/java/maplerail/core/Broker.java
+++ b/src/main/java/maplerail/core/Broker.java
@@ -41,6 +41,7 @@
     private final AdmissionStage admission;
     private final ReservationManager reservations;
     private final RequestRegistry registry;
+    private final ExecutedRequests executed;
     private final RequestIntake intake;
     private final RoutingStage routing;
     private final AttemptDispatcher dispatcher;
@@ -78,9 +79,11 @@
         directory = new EngineDirectory(settings.engineKinds());
         reservations = new ReservationManager(transport, loop, directory, events);
         registry = new RequestRegistry(admission, reservations, metrics);
-        intake = new RequestIntake(loop, registry);
+        executed = new ExecutedRequests(loop, metrics);
+        intake = new RequestIntake(loop, registry, executed);
         relay = new ResponseRelay(registry, loop);
-        dispatcher = new AttemptDispatcher(transport, loop, directory, registry, reservations, relay, metrics, events);
+        dispatcher = new AttemptDispatcher(
+                transport, loop, directory, registry, executed, reservations, relay, metrics, events);
         routing = new RoutingStage(policy, loop, new ActionHandler(), dispatcher::cleanUp, log);
         dispatcher.setRoutingStage(routing);
     }
@@ -92,6 +95,7 @@
         Optional<RequestRecord> opened = intake.open(request, observer, terms, latestDeadlineMs);
         if (opened.isEmpty()) {
             terms.of(request).tally().count(Verdict.ERRORED);
+            metrics.count(EventCount.REQUESTS_DUPLICATE);
             observer.onFailed(Reason.DUPLICATE);
             return RequestHandle.CLOSED;
         }
@@ -182,6 +186,11 @@
         dispatcher.setEndpointRefresh(refresh);
     }
 
+    /** Sets the log by which the processes of this gateway tell each other what they may have executed. */
+    public void setExecutionLog(ExecutionLog shared) {
+        executed.setLog(shared);
+    }
+
     /** Sets how engines are named in the log. */
     public void setEngineNames(LongFunction<String> names) {
         events.setEngineNames(names);
--- a/src/main/java/maplerail/core/RequestRecord.java
+++ b/src/main/java/maplerail/core/RequestRecord.java
@@ -21,6 +21,8 @@
     EventLoop.Timer reservationTimer = () -> {};
 
     boolean admitted;
+    /** True once {@link ExecutedRequests} has told other processes that it may be executed here. */
+    boolean claimed;
     /** The memory of its payload. */
     MemoryBudget.Reservation memory;
 
@@ -47,6 +49,16 @@
         return attempts.stream().anyMatch(Attempt::isInFlight);
     }
 
+    /** True if its class may be executed any number of times. */
+    boolean isRepeatable() {
+        return terms.of(request).repeatable();
+    }
+
+    /** True if an attempt that has ended may have been executed. */
+    boolean mayHaveExecuted() {
+        return attempts.stream().anyMatch(attempt -> attempt.maybeExecuted);
+    }
+
     /** True if an engine has not responded to an attempt. */
     boolean hasAttemptWithoutResponseAt(long engine) {
         return attempts.stream().anyMatch(attempt -> attempt.engine == engine && !attempt.engineResponded);
--- a/src/main/java/maplerail/core/RequestTerms.java
+++ b/src/main/java/maplerail/core/RequestTerms.java
@@ -15,15 +15,16 @@
     /**
      * The settings of one class.
      *
+     * @param repeatable true if its requests may be executed any number of times
      * @param keyTtlMs how long after an attempt engines drop duplicates of it; infinite where that is irrelevant
      */
-    record ClassTerms(String name, Metrics.Tally tally, double keyTtlMs) {}
+    record ClassTerms(String name, Metrics.Tally tally, boolean repeatable, double keyTtlMs) {}
 
     static RequestTerms of(RoutingSettings settings, List<String> classNames, Metrics metrics) {
         ClassTerms[] classes = new ClassTerms[classNames.size()];
         for (int i = 0; i < classes.length; i++) {
             String name = classNames.get(i);
-            classes[i] = new ClassTerms(name, metrics.of(name), keyTtlMs(settings, i));
+            classes[i] = new ClassTerms(name, metrics.of(name), isRepeatable(settings, i), keyTtlMs(settings, i));
         }
         return new RequestTerms(
                 settings.limits().maxAttempts(),
@@ -32,6 +33,11 @@
                 List.of(classes));
     }
 
+    private static boolean isRepeatable(RoutingSettings settings, int index) {
+        return index < settings.classes().size()
+                && settings.classes().get(index).idempotency() == Idempotency.IDEMPOTENT;
+    }
+
     private static double keyTtlMs(RoutingSettings settings, int index) {
         if (index >= settings.classes().size()) return Double.POSITIVE_INFINITY;
         RoutingSettings.RequestClass requestClass = settings.classes().get(index);
--- a/src/main/java/maplerail/core/ResponseObserver.java
+++ b/src/main/java/maplerail/core/ResponseObserver.java
@@ -11,7 +11,7 @@
     enum Reason {
         /** The request is invalid. */
         INVALID,
-        /** Another request with the same id is open. */
+        /** Another request with the same id is open, or may have been executed. */
         DUPLICATE,
         /** Its team's budget is exhausted. */
         BUDGET,
--- a/src/main/java/maplerail/front/platform/PlatformResponse.java
+++ b/src/main/java/maplerail/front/platform/PlatformResponse.java
@@ -188,7 +188,7 @@
     public void onFailed(Reason reason) {
         switch (reason) {
             case INVALID -> respond(400, "not a valid request");
-            case DUPLICATE -> respond(409, "Req-Id: open already");
+            case DUPLICATE -> respond(409, "Req-Id: open already, or may have run");
             case DEADLINE -> respond(504, "no answer in time");
             default -> respond(502, "failed, it may have run");
         }
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -17,6 +17,10 @@
     ATTEMPTS_NOT_SENT,
     /** Attempts that were not begun as a disconnect of their client could not be detected behind its unread input. */
     ATTEMPTS_WITHHELD,
+    /** Requests with an effect that may have run and are remembered no longer, as there were too many. */
+    EXECUTIONS_FORGOTTEN,
+    /** Requests rejected (409) as one with the same id is open or may have run. */
+    REQUESTS_DUPLICATE,
     /** States that were reserved for as long as the settings allow, and released for that. */
     RESERVATIONS_OVERDUE,
     /** Releases begun, calls made for them, and those of which no engine has answered a call. */
--- a/src/main/java/maplerail/server/Gateway.java
+++ b/src/main/java/maplerail/server/Gateway.java
@@ -30,6 +30,7 @@
 import maplerail.metrics.EventCount;
 import maplerail.metrics.Metrics;
 import maplerail.metrics.Metrics.Figure;
+import maplerail.migration.SharedExecutionLog;
 import maplerail.net.ConnectionPool;
 import maplerail.net.EngineClient;
 import maplerail.net.XnioEventLoop;
@@ -136,6 +137,7 @@
                 metrics::listRejected);
         broker.setEndpointRefresh(discovery::refresh);
         broker.setEngineNames(engines::describe);
+        this.sharedFolder.ifPresent(this::shareExecutionLog);
         enginePool.setBeforeUseHook(discovery::refresh);
         tools = Optional.ofNullable(toolsConfig).map(this::createTools);
         peers = createPeers(config);
@@ -145,6 +147,15 @@
         drain = new DrainController(loop, lifecycle, broker, new DrainHost());
     }
 
+    /** Without it an upgrade goes on: what this process may have executed is then known to itself only. */
+    private void shareExecutionLog(Path folder) {
+        try {
+            broker.setExecutionLog(new SharedExecutions(SharedExecutionLog.open(folder)));
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("executions are not shared with the other process of an upgrade error={}", e.toString());
+        }
+    }
+
     private static XnioWorker createWorker() throws IOException {
         return Xnio.getInstance()
                 .createWorker(OptionMap.builder()
--- a/src/test/java/maplerail/cli/UpgradeIT.java
+++ b/src/test/java/maplerail/cli/UpgradeIT.java
@@ -183,6 +183,31 @@
         }
     }
 
+    /** Guards against an order that runs again as its id comes to the other process of an upgrade. */
+    @Test
+    void anOrderThatMayHaveRunIsNotRunByTheOtherProcess() throws Exception {
+        long first = start("a", "good");
+        awaitReady("a");
+        start("b", "good");
+        awaitReady("b");
+        List<String> orders = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            String order = World.request("held" + i, "repair-order", "5.0");
+            orders.add(order.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
+            try (Socket client = new Socket("127.0.0.1", port)) {
+                client.getOutputStream().write(order.getBytes(StandardCharsets.UTF_8));
+                World.take(held);
+            }
+            // Either process may take a connection.
+            for (int j = 0; j < 4; j++)
+                assertThat(World.say(port, orders.get(i))).startsWith("HTTP/1.1 409");
+        }
+        signal("TERM", first);
+        await("the first is gone", () -> !alive(first));
+        for (String order : orders) assertThat(World.say(port, order)).startsWith("HTTP/1.1 409");
+        assertThat(held).as("orders that ran again").isEmpty();
+    }
+
     @Test
     void oneAfterTheOtherServesOnAndNoRequestIsLost() throws Exception {
         long first = start("a", "good");
@@ -315,7 +340,7 @@
                 TimeUnit.MILLISECONDS.sleep(200);
                 stream.chunk("data: " + i + "\n\n");
             }
-            stream.last();
+            stream.endStream();
             assertThat(World.untilLastChunk(client.getInputStream())).contains("data: 2", "data: 3");
             assertThat(World.untilLastChunk(client.getInputStream()))
                     .startsWith("HTTP/1.1 200")
