JarIT: the last stream ends as whole streams do

It had no [DONE], so that its client's connection ends without the last chunk since 'Streams are whole only with the event that ends them'.

--- a/src/test/java/maplerail/cli/JarIT.java
+++ b/src/test/java/maplerail/cli/JarIT.java
@@ -287,7 +287,7 @@
                     await("the new list holds", () -> other.count("POST") == 1);
                     gateway.destroy();
                     stream = World.take(streams);
-                    stream.last();
+                    stream.endStream();
                     assertThat(World.readAll(client.getInputStream()))
                             .contains("[DONE]")
                             .endsWith("\r\n0\r\n\r\n");
