--- a/src/test/java/maplerail/front/RequestFramingTest.java
+++ b/src/test/java/maplerail/front/RequestFramingTest.java
@@ -69,6 +69,8 @@
         }
     }
 
+    private int exchanges;
+
     @BeforeEach
     void start() throws Exception {
         orders = new OrderWorld();
@@ -92,7 +94,7 @@
     /** Sends text and returns what comes until the connection's end. */
     private String exchange(Front front, String text) throws IOException {
         try (Socket client = connect(front)) {
-            client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            client.getOutputStream().write(withFreshIds(text).getBytes(StandardCharsets.ISO_8859_1));
             return World.readAll(client.getInputStream());
         }
     }
@@ -256,7 +258,13 @@
         assertRun(4);
     }
 
-    private String exchangeInPieces(Front front, String text, int step) throws IOException {
+    /** Each request has an id of its own: one of an order that has run is refused. */
+    private String withFreshIds(String text) {
+        return text.replace("Req-Id: ", "Req-Id: fresh" + ++exchanges);
+    }
+
+    private String exchangeInPieces(Front front, String sent, int step) throws IOException {
+        String text = withFreshIds(sent);
         try (Socket client = connect(front)) {
             for (int i = 0; i < text.length(); i += step) {
                 String piece = text.substring(i, Math.min(text.length(), i + step));
