Bodies of answers are copied in pieces instead of a byte at a time

Cause: 19 of 33 samples of the loop's stack with program code stood in the copy of a tool's reply, a synchronized write for each byte.

--- a/src/main/java/maplerail/net/EngineClient.java
+++ b/src/main/java/maplerail/net/EngineClient.java
@@ -214,7 +214,7 @@
             if (outcome == AttemptOutcome.COMPLETED) {
                 if (!eventSplitter.feed(piece, this::onEvents)) framed = false;
             } else if (bodyBytes.size() < MAX_TEXT_BYTES) {
-                while (piece.hasRemaining()) bodyBytes.write(piece.get());
+                ResponseHandler.copy(piece, bodyBytes);
             }
         }
 
--- a/src/main/java/maplerail/net/ResponseHandler.java
+++ b/src/main/java/maplerail/net/ResponseHandler.java
@@ -1,6 +1,7 @@
 package maplerail.net;
 
 import io.undertow.util.HeaderMap;
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 
 /** Receives the response to a {@link Call}: its head, pieces of its body, then one completion or failure. */
@@ -30,6 +31,13 @@
     /** Called for each piece of the body; the buffer is valid only during the call. */
     void onBody(ByteBuffer piece);
 
+    /** Copies a piece of a body. */
+    static void copy(ByteBuffer piece, ByteArrayOutputStream into) {
+        byte[] bytes = new byte[piece.remaining()];
+        piece.get(bytes);
+        into.writeBytes(bytes);
+    }
+
     /** True if the body received so far ends between two events, so that another handler can receive the rest. */
     default boolean isBetweenEvents() {
         return false;
--- a/src/main/java/maplerail/net/ToolClient.java
+++ b/src/main/java/maplerail/net/ToolClient.java
@@ -122,7 +122,7 @@
                 completeAsTooLarge();
                 return;
             }
-            while (piece.hasRemaining()) bodyBytes.write(piece.get());
+            ResponseHandler.copy(piece, bodyBytes);
         }
 
         /** Handles a message of a streaming response: a notification such as progress, or the final response. */
