Second front: what clients leave unread is counted and bounded whatever it is

Change: such answers count as unsent; calls are refused before they run (-32000, why memory) once their team (three quarters) or all together have left an eighth of the heap unsent; a WebSocket whose client has 64 Ki characters or 16 pongs unread is not read further until it takes them.

--- a/src/main/java/maplerail/front/jsonrpc/EventStream.java
+++ b/src/main/java/maplerail/front/jsonrpc/EventStream.java
@@ -1,5 +1,7 @@
 package maplerail.front.jsonrpc;
 
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.io.IOException;
@@ -26,6 +28,7 @@
     private final long number;
     private final ReplayBuffer replay;
     private final UnsentLimit unsentLimit;
+    private final int team;
     private final Runnable onWritable;
     private final Runnable onConnectionEnded;
     private String immediateResponse;
@@ -44,11 +47,13 @@
             long number,
             ReplayBuffer.Budget budget,
             UnsentLimit unsentLimit,
+            int team,
             Runnable onWritable,
             Runnable onConnectionEnded) {
         this.number = number;
         this.replay = new ReplayBuffer(MAX_REPLAY_MESSAGES, MAX_REPLAY_CHARS, budget);
         this.unsentLimit = unsentLimit;
+        this.team = team;
         this.onWritable = onWritable;
         this.onConnectionEnded = onConnectionEnded;
     }
@@ -113,9 +118,23 @@
                 + message.text().replace("\n", "\ndata: ") + "\n\n";
     }
 
-    private static void sendJson(HttpServerExchange exchange, String text) {
+    private void sendJson(HttpServerExchange exchange, String text) {
+        UnsentLimit.Account account = unsentLimit.open(team);
+        account.add(text.length());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseSender().send(text);
+        exchange.getResponseSender().send(text, new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange sent, Sender sender) {
+                account.close();
+                IoCallback.END_EXCHANGE.onComplete(sent, sender);
+            }
+
+            @Override
+            public void onException(HttpServerExchange failed, Sender sender, IOException exception) {
+                account.close();
+                IoCallback.END_EXCHANGE.onException(failed, sender, exception);
+            }
+        });
     }
 
     @Override
@@ -156,7 +175,7 @@
         private final HttpServerExchange exchange;
         private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
         private StreamSinkChannel channel;
-        private final UnsentLimit.Account account = unsentLimit.open();
+        private final UnsentLimit.Account account = unsentLimit.open(team);
         private boolean completed;
         private boolean closed;
 
--- a/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
+++ b/src/main/java/maplerail/front/jsonrpc/HttpSessions.java
@@ -67,7 +67,7 @@
         EventStream openStream() {
             lastUsedMs = loop.nowMs();
             EventStream stream = new EventStream(
-                    ++lastStreamNumber, budget, unsentLimit, session::onClientWritable, this::onConnectionEnded);
+                    ++lastStreamNumber, budget, unsentLimit, team, session::onClientWritable, this::onConnectionEnded);
             streams.put(stream.number(), stream);
             int finished = (int)
                     streams.values().stream().filter(EventStream::finished).count();
--- a/src/main/java/maplerail/front/jsonrpc/RpcFront.java
+++ b/src/main/java/maplerail/front/jsonrpc/RpcFront.java
@@ -33,6 +33,7 @@
 public final class RpcFront implements HttpHandler, Session.Dispatcher {
     private static final Logger LOG = LoggerFactory.getLogger(RpcFront.class);
     static final int MAX_MESSAGE_BYTES = 256 * 1024;
+    private static final double RETRY_AFTER_MEMORY_MS = 500;
     private static final int OTHER_TEAMS_DIVISOR = 4; // this part of all connections
 
     private final ToolsConfig config;
@@ -147,6 +148,11 @@
 
     @Override
     public RequestHandle start(int team, RpcMessage message, Session.PendingRequest pending) {
+        if (unsentLimit.isExhausted(team)) {
+            metrics.count(EventCount.REQUESTS_REFUSED_MEMORY);
+            pending.finish(RpcError.refusedResponse(pending.id, "memory", RETRY_AFTER_MEMORY_MS));
+            return null;
+        }
         switch (message.method()) {
             case "tools/call" -> {
                 return toolMethods.call(message, team, pending);
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketReceiver.java
@@ -53,6 +53,7 @@
     private boolean timerSet;
     private boolean receiving;
     private boolean awaitsTurn; // nothing is received for readiness of the socket until then
+    private boolean turnSubmitted;
     private int unsentPongs;
     private boolean failed; // nothing more is received
     private boolean closing;
@@ -73,8 +74,8 @@
         this.metrics = metrics;
         this.memory = connection.reserveMemory();
         this.lastUsedMs = loop.nowMs();
-        this.unsent = unsentLimit.open();
-        this.sender = new WebSocketSender(channel, session, unsent, this::pollClient);
+        this.unsent = unsentLimit.open(session.team());
+        this.sender = new WebSocketSender(channel, session, unsent, this::pollClient, this::resumeIfWaiting);
         connection.filterInput(this::onInput);
     }
 
@@ -95,12 +96,22 @@
         if (awaitsTurn || failed) return;
         awaitsTurn = true;
         channel.suspendReceives();
-        connection.submitTurn(this::beginTurn);
+        resumeIfWaiting();
     }
 
     private void beginTurn() {
-        awaitsTurn = unsentPongs >= MAX_UNSENT_PONGS;
-        if (!awaitsTurn && channel.isOpen()) channel.resumeReceives();
+        turnSubmitted = false;
+        boolean isSlow = unsentPongs >= MAX_UNSENT_PONGS || sender.isSlow();
+        if (isSlow) return;
+        awaitsTurn = false;
+        if (channel.isOpen()) channel.resumeReceives();
+    }
+
+    /** Receives again once the client has taken what it was sent: nothing is received for answers that nobody reads. */
+    private void resumeIfWaiting() {
+        if (!awaitsTurn || turnSubmitted) return;
+        turnSubmitted = true;
+        connection.submitTurn(this::beginTurn);
     }
 
     /** Runs what receives; not within itself, as messages must not be processed within one another. */
@@ -244,8 +255,8 @@
             @Override
             public void complete(WebSocketChannel done, Void none) {
                 data.free();
-                if (unsentPongs-- >= MAX_UNSENT_PONGS && awaitsTurn)
-                    connection.submitTurn(WebSocketReceiver.this::beginTurn);
+                unsentPongs--;
+                resumeIfWaiting();
             }
 
             @Override
--- a/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
+++ b/src/main/java/maplerail/front/jsonrpc/WebSocketSender.java
@@ -15,14 +15,20 @@
     private final Session session;
     private final UnsentLimit.Account unsent; // in characters
     private final Supplier<ClientPresence> receivePending;
+    private final Runnable onTaken;
     private boolean closed;
 
-    /** Creates a sender; {@code receivePending} processes the messages that are available on the channel. */
+    /**
+     * Creates a sender; {@code receivePending} processes the messages that are available on the channel, and {@code onTaken}
+     * is called whenever the client has taken a message and is not slow.
+     */
     WebSocketSender(
             WebSocketChannel channel,
             Session session,
             UnsentLimit.Account unsent,
-            Supplier<ClientPresence> receivePending) {
+            Supplier<ClientPresence> receivePending,
+            Runnable onTaken) {
+        this.onTaken = onTaken;
         this.unsent = unsent;
         this.channel = channel;
         this.session = session;
@@ -51,7 +57,9 @@
             @Override
             public void complete(WebSocketChannel done, Void none) {
                 unsent.onSent(size);
-                if (unsent.bytes() <= PAUSE_CHARS / 2) session.onClientWritable();
+                if (unsent.bytes() > PAUSE_CHARS / 2) return;
+                session.onClientWritable();
+                onTaken.run();
             }
 
             @Override
--- a/src/test/java/maplerail/front/jsonrpc/UnsentLimitTest.java
+++ b/src/test/java/maplerail/front/jsonrpc/UnsentLimitTest.java
@@ -12,9 +12,9 @@
     @Test
     void aLargeMessageIsAcceptedWhileAllConnectionsLeaveLittleUnsent() {
         UnsentLimit limit = new UnsentLimit(10 * MIB);
-        UnsentLimit.Account first = limit.open();
-        UnsentLimit.Account second = limit.open();
-        UnsentLimit.Account third = limit.open();
+        UnsentLimit.Account first = limit.open(0);
+        UnsentLimit.Account second = limit.open(0);
+        UnsentLimit.Account third = limit.open(0);
         assertThat(first.tryAdd(6 * MIB)).isTrue();
         assertThat(first.tryAdd(1)).as("it has left a large one unsent").isFalse();
         assertThat(second.tryAdd(6 * MIB)).as("all together").isFalse();
--- a/src/test/java/maplerail/support/GatewayProcess.java
+++ b/src/test/java/maplerail/support/GatewayProcess.java
@@ -71,6 +71,13 @@
                 .waitFor();
     }
 
+    /** The most memory that the process has had resident so far, in KiB. */
+    public long peakMemoryKb() throws IOException {
+        Matcher peak = Pattern.compile("VmHWM:\\s+(\\d+) kB")
+                .matcher(Files.readString(Path.of("/proc/" + process.pid() + "/status")));
+        return peak.find() ? Long.parseLong(peak.group(1)) : -1;
+    }
+
     public boolean isAlive() {
         return process.isAlive();
     }
