--- a/src/main/java/maplerail/front/ConnectionManager.java
+++ b/src/main/java/maplerail/front/ConnectionManager.java
@@ -139,8 +139,12 @@
             setState(
                     done,
                     !done.isPersistent() ? State.CLOSING : isNextRequestBuffered(done) ? State.RECEIVING : State.IDLE);
-            if (hasBufferedInput(done)) turns.submit(() -> endExchange(done, proceed));
-            else endExchange(done, proceed);
+            if (!hasBufferedInput(done)) {
+                endExchange(done, proceed);
+                return;
+            }
+            metrics.count(EventCount.REQUESTS_SENT_AHEAD);
+            turns.submit(() -> endExchange(done, proceed));
         });
     }
 
--- a/src/main/java/maplerail/front/platform/PlatformFront.java
+++ b/src/main/java/maplerail/front/platform/PlatformFront.java
@@ -52,12 +52,12 @@
         if (exchange.getRequestURI().equals("/-/ready")) {
             response.respond(lifecycle.phase() == Phase.READY ? 200 : 503, "");
         } else if (exchange.getRequestURI().startsWith("/-/")) {
-            response.respond(404, "no such path");
+            reject(response, 404, "no such path");
         } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
-            response.respond(405, "POST only");
+            reject(response, 405, "POST only");
         } else if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
             exchange.setPersistent(false);
-            response.respond(413, "the body is too large");
+            reject(response, 413, "the body is too large");
         } else {
             // A chunked body is read beyond its limit: if it were cut off there, the client would not get the response.
             exchange.setMaxEntitySize(4 * MAX_BODY_BYTES);
@@ -66,6 +66,11 @@
         }
     }
 
+    private void reject(PlatformResponse response, int status, String reason) {
+        metrics.count(EventCount.REQUESTS_INVALID);
+        response.respond(status, reason);
+    }
+
     /** Handles a request once its body has been received. */
     private final class BodyListener implements BodyReader.Listener {
         private final HttpServerExchange exchange;
@@ -88,7 +93,7 @@
 
         @Override
         public void onTooLarge() {
-            response.respond(413, "the body is too large");
+            reject(response, 413, "the body is too large");
         }
 
         @Override
@@ -113,7 +118,7 @@
             try {
                 return Optional.of(parser.parse(exchange, body));
             } catch (RequestParser.BadRequestException e) {
-                response.respond(400, e.getMessage());
+                reject(response, 400, e.getMessage());
                 return Optional.empty();
             }
         }
--- a/src/main/java/maplerail/metrics/EventCount.java
+++ b/src/main/java/maplerail/metrics/EventCount.java
@@ -53,6 +53,10 @@
     /** Requests refused because the process sends its clients away, and for lack of memory. */
     REQUESTS_REFUSED_DRAINING,
     REQUESTS_REFUSED_MEMORY,
+    /** Requests that were answered when their client had already sent more behind them. */
+    REQUESTS_SENT_AHEAD,
+    /** Requests that the platform's front answered itself, as their path, method, size or headers are wrong (4xx). */
+    REQUESTS_INVALID,
     /** Requests whose head or body is not framed as HTTP has it. */
     REQUESTS_MALFORMED,
     /** WebSockets that were refused because their team had too many of the front's connections. */
